--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,91 @@
+//! The library's error type.
+//!
+//! An error names the step that failed and, where another process took part,
+//! the peer at which it failed.
+
+use std::path::PathBuf;
+
+/// Result of the library's operations.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What can go wrong, with the step and the peer.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// A name is empty, too long or has characters other than `A-Za-z0-9._-`.
+    #[error("{kind} name {value:?}: want 1 to 64 of A-Z a-z 0-9 . _ -")]
+    Name {
+        /// What was being named.
+        kind: &'static str,
+        /// The refused text, cut to the longest name.
+        value: String,
+    },
+
+    /// A number cannot be read.
+    #[error("{kind} {value:?}: want a whole number")]
+    Number {
+        /// What was being counted.
+        kind: &'static str,
+        /// The refused text.
+        value: String,
+    },
+
+    /// A field of a settings file or document is refused.
+    #[error("{file}:{line}: {field}: {value}: want {allowed}", file = file.display())]
+    Field {
+        /// The file.
+        file: PathBuf,
+        /// Line number, from 1; 0 when not known.
+        line: usize,
+        /// Path of the field, dotted.
+        field: String,
+        /// The refused value.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+
+    /// Reading or writing failed.
+    #[error("{step} ({peer}): {source}")]
+    Io {
+        /// What was being done.
+        step: &'static str,
+        /// The file or peer.
+        peer: String,
+        /// The system's error.
+        source: std::io::Error,
+    },
+
+    /// A message cannot be decoded.
+    #[error("{step} from {peer}: {reason}")]
+    Decode {
+        /// What was being decoded.
+        step: &'static str,
+        /// Who sent it.
+        peer: String,
+        /// Why it was refused.
+        reason: String,
+    },
+
+    /// The platform or an instance refused a call; nothing was changed.
+    #[error("{step} at {peer}: refused: {reason}")]
+    Refused {
+        /// What was asked.
+        step: &'static str,
+        /// Who refused.
+        peer: String,
+        /// Its reason.
+        reason: String,
+    },
+
+    /// A call got no answer; a write may have taken effect.
+    #[error("{step} at {peer}: no answer: {reason}")]
+    Unanswered {
+        /// What was asked.
+        step: &'static str,
+        /// Who did not answer.
+        peer: String,
+        /// What was seen.
+        reason: String,
+    },
+}
