--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,12 @@
-//! x
+//! godwitreel: a layer-4 load balancer that keeps callers connected while
+//! services move.
+//!
+//! The library holds everything that decides; the programs `godwitreeld` and
+//! `godwitreel` only parse, call and report. See `docs/DESIGN.md`.
+
+pub mod document;
+pub mod error;
+pub mod id;
+
+pub use crate::error::Error;
+pub use crate::error::Result;
