--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,175 @@
+//! Choice of a backend server for new work.
+//!
+//! Local servers come first; other zones' servers are used when the local ones
+//! are short. The weights and the order of preference are measured in
+//! `docs/MEASUREMENTS.md`.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use siphasher::sip::SipHasher13;
+use tokio::time::Instant;
+
+use crate::document::Policy;
+use crate::document::Profile;
+use crate::id;
+use crate::request::Flow;
+use crate::server::Server;
+use crate::server::State;
+use crate::snapshot::Service;
+
+/// Load above which bounded-load hashing skips a server, against the mean.
+const BOUND: f64 = 1.25;
+
+/// What the work will occupy at the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A slot for a short while.
+    Request,
+    /// A connection for a long while.
+    Feed,
+}
+
+/// A server that could take the work, with its load per weight.
+struct Candidate<'a> {
+    server: &'a Arc<Server>,
+    load: f64,
+    local: bool,
+}
+
+/// The server for a new piece of work, or none if all are full or away.
+pub fn choose(
+    service: &Service,
+    flow: &Flow,
+    work: Work,
+    zone: &id::Zone,
+    tried: &[id::Server],
+    now: Instant,
+    rng: &mut SmallRng,
+) -> Option<Arc<Server>> {
+    let profile = &service.profile;
+    let candidates = candidates(service, work, zone, tried, now);
+    let pool = prefer_local(candidates, profile);
+    let choice = match profile.policy {
+        Policy::Rendezvous => rendezvous(&pool, flow, |_| true),
+        Policy::BoundedLoad => bounded(&pool, flow),
+        Policy::TwoChoices => two_choices(&pool, rng),
+        Policy::LeastLoaded => least(&pool, rng),
+    };
+    choice.map(|place| Arc::clone(pool[place].server))
+}
+
+fn candidates<'a>(
+    service: &'a Service,
+    work: Work,
+    zone: &id::Zone,
+    tried: &[id::Server],
+    now: Instant,
+) -> Vec<Candidate<'a>> {
+    let profile = &service.profile;
+    let usable = |server: &&Arc<Server>| !tried.contains(&server.id);
+    service
+        .servers
+        .iter()
+        .filter(usable)
+        .filter_map(|server| {
+            let state = server.state();
+            let load = weigh(server, &state, work, now, profile)?;
+            Some(Candidate {
+                server,
+                load,
+                local: server.zone == *zone,
+            })
+        })
+        .collect()
+}
+
+/// Load per slot and warmth, or none if the server takes no such work now.
+fn weigh(
+    server: &Server,
+    state: &State,
+    work: Work,
+    now: Instant,
+    profile: &Profile,
+) -> Option<f64> {
+    if !state.takes_work(now) {
+        return None;
+    }
+    let warmth = state.warmth(now, profile);
+    let full = f64::from(server.slots) * f64::from(1 + profile.queue_per_slot);
+    let load = match work {
+        Work::Request => state.load(),
+        Work::Feed => state.feed_load(),
+    };
+    let room = work == Work::Feed || f64::from(load) < (full * warmth).max(1.0);
+    room.then(|| f64::from(load) / (f64::from(server.slots) * warmth))
+}
+
+/// Keeps local servers alone unless they are used above the spill share.
+fn prefer_local<'a>(mut pool: Vec<Candidate<'a>>, profile: &Profile) -> Vec<Candidate<'a>> {
+    let local = pool.iter().filter(|candidate| candidate.local);
+    let (count, load) = local.fold((0u32, 0.0), |(count, load), candidate| {
+        (count + 1, load + candidate.load)
+    });
+    if count == 0 {
+        return pool;
+    }
+    let used = load / f64::from(count);
+    if used < f64::from(profile.spill_percent) / 100.0 {
+        pool.retain(|candidate| candidate.local);
+    }
+    pool
+}
+
+fn score(server: &Server, flow: &Flow) -> u64 {
+    let mut hasher = SipHasher13::new();
+    server.id.as_str().hash(&mut hasher);
+    flow.service.as_str().hash(&mut hasher);
+    flow.caller.0.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn rendezvous(
+    pool: &[Candidate<'_>],
+    flow: &Flow,
+    keep: impl Fn(&Candidate<'_>) -> bool,
+) -> Option<usize> {
+    (0..pool.len())
+        .filter(|&place| keep(&pool[place]))
+        .max_by_key(|&place| score(pool[place].server, flow))
+}
+
+fn bounded(pool: &[Candidate<'_>], flow: &Flow) -> Option<usize> {
+    let total: f64 = pool.iter().map(|candidate| candidate.load).sum();
+    let bound = (total / pool.len().max(1) as f64 * BOUND).max(1.0);
+    rendezvous(pool, flow, |candidate| candidate.load < bound)
+        .or_else(|| rendezvous(pool, flow, |_| true))
+}
+
+fn two_choices(pool: &[Candidate<'_>], rng: &mut SmallRng) -> Option<usize> {
+    let count = pool.len();
+    if count < 2 {
+        return (count == 1).then_some(0);
+    }
+    let first = rng.random_range(0..count);
+    let second = (first + rng.random_range(1..count)) % count;
+    Some(if pool[second].load < pool[first].load {
+        second
+    } else {
+        first
+    })
+}
+
+fn least(pool: &[Candidate<'_>], rng: &mut SmallRng) -> Option<usize> {
+    let start = if pool.is_empty() {
+        0
+    } else {
+        rng.random_range(0..pool.len())
+    };
+    (0..pool.len())
+        .map(|step| (start + step) % pool.len())
+        .min_by(|&a, &b| pool[a].load.total_cmp(&pool[b].load))
+}
--- /dev/null
+++ b/src/engine/feed.rs
@@ -0,0 +1,654 @@
+//! Feeds: opening, notifications, silence, and moves between servers and homes.
+//!
+//! A move always registers at the new place before the old registration is
+//! dropped, so that the caller sees one unbroken sequence.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::Engine;
+use crate::action::Action;
+use crate::balance;
+use crate::balance::Work;
+use crate::id;
+use crate::peer;
+use crate::reason::Reason;
+use crate::record::Feed;
+use crate::record::FeedKey;
+use crate::record::Purpose;
+use crate::record::Renewal;
+use crate::record::Sending;
+use crate::record::Timer;
+use crate::request::Answer;
+use crate::request::Flow;
+use crate::request::Receipt;
+use crate::request::Request;
+use crate::request::Token;
+use crate::request::Verdict;
+use crate::server::Server;
+use crate::snapshot::Service;
+
+/// A caller that showed no sign of life for this long must acknowledge the next
+/// notification: otherwise feeds of callers that vanished would stay for ever.
+const CONFIRM_AFTER: Duration = Duration::from_secs(30);
+
+/// Notifications without a receipt after which the caller is taken to be gone.
+const MAX_UNCONFIRMED: u32 = 4;
+
+/// Added to the sequence when another instance goes on with a feed. The copy may
+/// lag behind what the caller has seen; a caller drops what looks older.
+const SEQUENCE_LEAP: u32 = 1 << 16;
+
+/// Notifications after which the backup's copy of the sequence is refreshed; well
+/// under [`SEQUENCE_LEAP`], so that the leap always passes what the caller saw.
+const SEQUENCE_REFRESH: u32 = 1 << 14;
+
+/// Wrap of the sequence (RFC 7641, section 3.4).
+const SEQUENCE_MASK: u32 = (1 << 24) - 1;
+
+/// Message numbers back from the newest in which a receipt is looked for.
+const RECEIPT_WINDOW: u16 = 256;
+
+/// Wait before a feed that no server takes is tried again.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// How long a registration is kept after another instance took the feed over.
+pub(crate) const RELEASE_AFTER: Duration = Duration::from_secs(2);
+
+/// Feeds registered anew per tick: a home that takes over thousands must not
+/// flood the servers.
+const MOVES_PER_TICK: usize = 64;
+
+/// Silences after which a feed that no server takes is given up.
+const LOST_AFTER_SILENCES: u32 = 3;
+
+fn message_number(token: Token, sequence: u32) -> u16 {
+    let salt = token.0 ^ (token.0 >> 16) ^ (token.0 >> 32) ^ (token.0 >> 48);
+    (salt as u16).wrapping_add(sequence as u16)
+}
+
+impl Engine {
+    fn feed(&mut self, slice: id::Slice, key: &FeedKey) -> Option<&mut Feed> {
+        self.slices.get_mut(&slice)?.feeds.get_mut(key)
+    }
+
+    /// Whether this instance looks after the feeds of a slice: it is home, or the
+    /// home cannot be heard and it is the backup or took the feed in itself.
+    pub(super) fn tends(&self, slice: id::Slice) -> bool {
+        let row = self.table.row(slice);
+        let me = &self.settings.me;
+        if row.is_home(me) {
+            return true;
+        }
+        let live = |holder: &Option<id::Holder>| {
+            holder
+                .as_ref()
+                .is_some_and(|holder| self.members.is_live(holder))
+        };
+        if live(&row.home) {
+            return false;
+        }
+        row.is_backup(me) || !live(&row.backup)
+    }
+
+    /// Keeps a feed that a server has just accepted; returns its first sequence.
+    pub(super) fn establish(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: FeedKey,
+        datagram: Bytes,
+        attempt: id::Attempt,
+        sending: &Sending,
+    ) -> u32 {
+        let server = Arc::clone(&sending.server);
+        let earlier = self.remove_feed(slice, &key);
+        let sequence = earlier.map_or(1, |feed| feed.sequence + 1) & SEQUENCE_MASK;
+        self.insert_sending(now, slice, &key, attempt, &server);
+        let feed = Feed {
+            datagram,
+            server: server.id.clone(),
+            attempt: Some(attempt),
+            renewal: None,
+            failed: Vec::new(),
+            sequence,
+            heard: now,
+            confirmed: now,
+            unconfirmed: 0,
+            due: now,
+            stamp: 0,
+        };
+        self.insert_feed(slice, key.clone(), feed);
+        self.watch_feed(now, slice, &key);
+        self.replicate_feed(now, slice, &key);
+        self.note_flow(Reason::FeedOpened, slice, &key.flow);
+        sequence
+    }
+
+    fn insert_sending(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &FeedKey,
+        attempt: id::Attempt,
+        server: &Arc<Server>,
+    ) {
+        server.state().feeds += 1;
+        self.sendings.insert(
+            attempt,
+            Sending {
+                slice,
+                purpose: Purpose::Feed(key.clone()),
+                server: Arc::clone(server),
+                since: now,
+            },
+        );
+    }
+
+    pub(super) fn insert_feed(&mut self, slice: id::Slice, key: FeedKey, feed: Feed) {
+        self.usage(&key.flow.service.clone()).feeds += 1;
+        self.feeds += 1;
+        let state = self.slices.entry(slice).or_default();
+        state.feeds.insert(key, feed);
+    }
+
+    pub(super) fn remove_feed(&mut self, slice: id::Slice, key: &FeedKey) -> Option<Feed> {
+        let feed = self.slices.get_mut(&slice)?.feeds.remove(key)?;
+        self.feeds -= 1;
+        let usage = self.usage(&key.flow.service);
+        usage.feeds = usage.feeds.saturating_sub(1);
+        self.drop_registrations(&feed);
+        Some(feed)
+    }
+
+    fn drop_registrations(&mut self, feed: &Feed) {
+        // The server learns by the rejection of its next notification.
+        if let Some(attempt) = feed.attempt {
+            self.drop_sending(attempt);
+        }
+        if let Some(renewal) = &feed.renewal {
+            self.drop_sending(renewal.attempt);
+        }
+    }
+
+    /// Sets the feed's next look for when it has been silent too long.
+    fn watch_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+        let silence = self.silence(&key.flow.service);
+        self.look_at(now + silence, slice, key);
+    }
+
+    fn look_at(&mut self, at: Instant, slice: id::Slice, key: &FeedKey) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        feed.due = at;
+        self.schedule(at, Timer::Feed(slice, key.clone()));
+    }
+
+    fn silence(&self, service: &id::Service) -> Duration {
+        self.service(service)
+            .map_or(RETRY_WAIT, |service| service.profile.feed_silence())
+    }
+
+    pub(super) fn close_feed(&mut self, now: Instant, slice: id::Slice, request: &Request) {
+        let key = FeedKey {
+            flow: request.flow.clone(),
+            token: request.token,
+        };
+        self.end_feed(now, slice, &key, Reason::FeedClosed);
+    }
+
+    fn end_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey, reason: Reason) {
+        if self.remove_feed(slice, key).is_none() {
+            return;
+        }
+        self.note_flow(reason, slice, &key.flow);
+        let item = peer::Item::FeedEnd(peer::FeedEnd {
+            flow: Some(peer::pack_flow(&key.flow)),
+            token: peer::pack_number(key.token.0),
+        });
+        self.replicate(now, slice, item, None);
+    }
+
+    fn replicate_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        let item = peer::Item::Feed(pack_feed(key, feed));
+        self.replicate(now, slice, item, None);
+    }
+
+    fn notify(&mut self, now: Instant, slice: id::Slice, key: &FeedKey, datagram: Bytes) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        feed.sequence = (feed.sequence + 1) & SEQUENCE_MASK;
+        feed.heard = now;
+        feed.failed.clear();
+        let confirmable = now >= feed.confirmed + CONFIRM_AFTER;
+        if confirmable {
+            feed.unconfirmed += 1;
+        }
+        let (sequence, unconfirmed) = (feed.sequence, feed.unconfirmed);
+        if unconfirmed > MAX_UNCONFIRMED {
+            self.end_feed(now, slice, key, Reason::FeedAbandoned);
+            return;
+        }
+        self.out.push(Action::Notify {
+            flow: key.flow.clone(),
+            token: key.token,
+            message: message_number(key.token, sequence),
+            sequence,
+            confirmable,
+            datagram: Some(datagram),
+        });
+        if sequence % SEQUENCE_REFRESH == 0 {
+            self.replicate_feed(now, slice, key);
+        }
+    }
+
+    /// A receipt for a notification; tells whether it was one.
+    pub(super) fn feed_receipt(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        flow: &Flow,
+        message: u16,
+        receipt: Receipt,
+    ) -> bool {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return false;
+        };
+        let first = FeedKey {
+            flow: flow.clone(),
+            token: Token(0),
+        };
+        let owner = state
+            .feeds
+            .range_mut(first..)
+            .take_while(|(key, _)| key.flow == *flow)
+            .find(|(key, feed)| {
+                let newest = message_number(key.token, feed.sequence);
+                feed.attempt.is_some() && newest.wrapping_sub(message) < RECEIPT_WINDOW
+            });
+        let Some((key, feed)) = owner else {
+            return false;
+        };
+        feed.confirmed = now;
+        feed.unconfirmed = 0;
+        let key = key.clone();
+        if receipt == Receipt::Rejected {
+            self.end_feed(now, slice, &key, Reason::FeedClosed);
+        }
+        true
+    }
+
+    pub(super) fn feed_answer(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &FeedKey,
+        attempt: id::Attempt,
+        answer: Answer,
+    ) {
+        let Some(feed) = self.feed(slice, key) else {
+            self.drop_sending(attempt);
+            return;
+        };
+        let renewing = feed.renewal.as_ref().map(|renewal| renewal.attempt) == Some(attempt);
+        let open = answer.feed && answer.verdict == Verdict::Handled;
+        match (renewing, open) {
+            (true, true) => self.renewed(now, slice, key, answer.datagram),
+            (true, false) => self.renewal_failed(now, slice, key),
+            (false, true) => self.notify(now, slice, key, answer.datagram),
+            (false, false) => self.feed_dropped(now, slice, key, answer),
+        }
+    }
+
+    fn renewed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey, datagram: Bytes) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        let Some(renewal) = feed.renewal.take() else {
+            return;
+        };
+        let moved = feed.server != renewal.server || feed.attempt.is_none();
+        let old = feed.attempt.replace(renewal.attempt);
+        feed.server = renewal.server;
+        if let Some(old) = old {
+            self.drop_sending(old);
+        }
+        let reason = if moved {
+            Reason::FeedMoved
+        } else {
+            Reason::FeedRefreshed
+        };
+        self.note_flow(reason, slice, &key.flow);
+        self.notify(now, slice, key, datagram);
+        if moved {
+            self.replicate_feed(now, slice, key);
+        }
+        self.watch_feed(now, slice, key);
+    }
+
+    fn renewal_failed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        let Some(renewal) = feed.renewal.take() else {
+            return;
+        };
+        feed.failed.push(renewal.server);
+        self.drop_sending(renewal.attempt);
+        self.renew(now, slice, key);
+    }
+
+    /// The server ended the registration. If it only refuses to go on, another
+    /// server takes the feed and the caller need not know.
+    fn feed_dropped(&mut self, now: Instant, slice: id::Slice, key: &FeedKey, answer: Answer) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        if answer.verdict == Verdict::Refused {
+            let attempt = feed.attempt.take();
+            let server = feed.server.clone();
+            feed.failed.push(server);
+            let renewing = feed.renewal.is_some();
+            if let Some(attempt) = attempt {
+                self.drop_sending(attempt);
+            }
+            if !renewing {
+                self.renew(now, slice, key);
+            }
+            return;
+        }
+        self.finish_feed(now, slice, key, Some(answer.datagram), Reason::FeedEnded);
+    }
+
+    /// Tells the caller that the feed is over and forgets it.
+    fn finish_feed(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &FeedKey,
+        datagram: Option<Bytes>,
+        reason: Reason,
+    ) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        let sequence = (feed.sequence + 1) & SEQUENCE_MASK;
+        self.out.push(Action::Notify {
+            flow: key.flow.clone(),
+            token: key.token,
+            message: message_number(key.token, sequence),
+            sequence,
+            confirmable: false,
+            datagram,
+        });
+        self.end_feed(now, slice, key, reason);
+    }
+
+    /// Registers the feed anew: at its own server if that is well, else elsewhere.
+    fn renew(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+        let Some(service) = self.service(&key.flow.service) else {
+            return;
+        };
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        let (datagram, failed) = (feed.datagram.clone(), feed.failed.clone());
+        let own = feed.server.clone();
+        let Some(server) = self.feed_server(now, &service, &key.flow, &own, &failed) else {
+            self.unplaced(now, slice, key, &service);
+            return;
+        };
+        let attempt = self.new_attempt();
+        self.insert_sending(now, slice, key, attempt, &server);
+        if let Some(feed) = self.feed(slice, key) {
+            feed.renewal = Some(Renewal {
+                attempt,
+                server: server.id.clone(),
+                since: now,
+            });
+        }
+        let timeout = service.profile.attempt_timeout();
+        self.look_at(now + timeout, slice, key);
+        self.out.push(Action::Forward {
+            server,
+            attempt,
+            service: service.id.clone(),
+            remaining: timeout,
+            datagram,
+        });
+    }
+
+    fn feed_server(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        flow: &Flow,
+        own: &id::Server,
+        failed: &[id::Server],
+    ) -> Option<Arc<Server>> {
+        let keep = service
+            .server(own)
+            .filter(|server| !failed.contains(own) && server.state().takes_work(now));
+        if let Some(server) = keep {
+            return Some(Arc::clone(server));
+        }
+        let zone = &self.settings.zone;
+        balance::choose(service, flow, Work::Feed, zone, failed, now, &mut self.rng)
+    }
+
+    /// No server takes the feed now: wait, and in the end tell the caller, who
+    /// would otherwise wait for ever.
+    fn unplaced(&mut self, now: Instant, slice: id::Slice, key: &FeedKey, service: &Service) {
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        feed.failed.clear();
+        let patience = service.profile.feed_silence() * LOST_AFTER_SILENCES;
+        if now >= feed.heard + patience {
+            self.finish_feed(now, slice, key, None, Reason::FeedLost);
+            return;
+        }
+        self.look_at(now + RETRY_WAIT, slice, key);
+    }
+
+    /// Looks after a feed whose time has come.
+    pub(super) fn tend_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+        if !self.tends(slice) {
+            return;
+        }
+        let silence = self.silence(&key.flow.service);
+        let Some(service) = self.service(&key.flow.service) else {
+            return;
+        };
+        let Some(feed) = self.feed(slice, key) else {
+            return;
+        };
+        if feed.due > now {
+            return;
+        }
+        let timeout = service.profile.attempt_timeout();
+        if let Some(renewal) = &feed.renewal {
+            if now < renewal.since + timeout {
+                let at = renewal.since + timeout;
+                self.look_at(at, slice, key);
+                return;
+            }
+            let server = service.server(&renewal.server).map(Arc::clone);
+            if let Some(server) = server {
+                self.blame(now, &server);
+            }
+            self.renewal_failed(now, slice, key);
+        } else if feed.attempt.is_none() || now >= feed.heard + silence {
+            self.renew(now, slice, key);
+        } else {
+            let at = feed.heard + silence;
+            self.look_at(at, slice, key);
+        }
+    }
+
+    /// Starts looking after the feeds of a slice that another instance had.
+    pub(super) fn activate_feeds(&mut self, slice: id::Slice) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        for (key, feed) in &mut state.feeds {
+            if feed.attempt.is_none() && feed.renewal.is_none() {
+                feed.sequence = (feed.sequence + SEQUENCE_LEAP) & SEQUENCE_MASK;
+                self.moves.push_back((slice, key.clone()));
+            }
+        }
+    }
+
+    /// Registers the next few feeds that wait to be moved.
+    pub(super) fn move_feeds(&mut self, now: Instant) {
+        for _ in 0..MOVES_PER_TICK {
+            let Some((slice, key)) = self.moves.pop_front() else {
+                return;
+            };
+            if !self.tends(slice) {
+                continue;
+            }
+            let Some(feed) = self.feed(slice, &key) else {
+                continue;
+            };
+            if feed.renewal.is_some() {
+                continue;
+            }
+            if feed.attempt.is_none() {
+                // Silence is counted from now on: the copy's time is another's.
+                feed.heard = now;
+                feed.confirmed = now;
+            }
+            self.renew(now, slice, &key);
+        }
+    }
+
+    /// Finds feeds whose server has begun to leave.
+    pub(super) fn vacate(&mut self) {
+        let mut leaving = Vec::new();
+        for service in self.snapshot.services.values() {
+            for server in &service.servers {
+                let away = server.state().is_leaving();
+                if !away {
+                    self.vacated.remove(&server.id);
+                } else if self.vacated.insert(server.id.clone()) {
+                    leaving.push(server.id.clone());
+                }
+            }
+        }
+        if leaving.is_empty() {
+            return;
+        }
+        for (slice, state) in &self.slices {
+            for (key, feed) in &state.feeds {
+                if feed.attempt.is_some() && leaving.contains(&feed.server) {
+                    self.moves.push_back((*slice, key.clone()));
+                }
+            }
+        }
+    }
+
+    /// Hands feeds that were taken in for an unreachable home to that home.
+    pub(super) fn return_feeds(&mut self, now: Instant, slice: id::Slice) {
+        let Some(home) = self.table.row(slice).home.clone() else {
+            return;
+        };
+        let Some(state) = self.slices.get(&slice) else {
+            return;
+        };
+        let mut any = false;
+        for (key, feed) in &state.feeds {
+            if feed.attempt.is_none() {
+                continue;
+            }
+            any = true;
+            let body = peer::Body::Adopt(peer::Adopt {
+                slice: slice.0,
+                feed: Some(pack_feed(key, feed)),
+            });
+            self.out.push(Action::Peer {
+                to: home.clone(),
+                body,
+            });
+        }
+        if any {
+            self.releases.push_back((now + RELEASE_AFTER, slice));
+        }
+    }
+
+    /// Drops the registrations of slices that another instance looks after by now.
+    pub(super) fn release_feeds(&mut self, now: Instant) {
+        while self.releases.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, slice)) = self.releases.pop_front() else {
+                return;
+            };
+            if self.tends(slice) {
+                continue;
+            }
+            let keep = self.table.row(slice).is_backup(&self.settings.me);
+            self.release_slice(slice, keep);
+        }
+    }
+
+    fn release_slice(&mut self, slice: id::Slice, keep: bool) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let active = |(key, feed): (&FeedKey, &Feed)| {
+            let active = feed.attempt.is_some() || feed.renewal.is_some();
+            active.then(|| key.clone())
+        };
+        let keys: Vec<FeedKey> = state.feeds.iter().filter_map(active).collect();
+        for key in keys {
+            let Some(mut feed) = self.remove_feed(slice, &key) else {
+                continue;
+            };
+            if keep {
+                feed.attempt = None;
+                feed.renewal = None;
+                self.insert_feed(slice, key, feed);
+            }
+        }
+    }
+
+    /// Takes in a feed that another instance served meanwhile.
+    pub(super) fn adopt(&mut self, now: Instant, slice: id::Slice, key: FeedKey, feed: Feed) {
+        if !self.table.row(slice).is_home(&self.settings.me) {
+            return;
+        }
+        let known = self.feed(slice, &key).map(|known| known.attempt.is_some());
+        if known == Some(true) {
+            return;
+        }
+        self.remove_feed(slice, &key);
+        let sequence = (feed.sequence + SEQUENCE_LEAP) & SEQUENCE_MASK;
+        let feed = Feed {
+            sequence,
+            heard: now,
+            confirmed: now,
+            ..feed
+        };
+        self.insert_feed(slice, key.clone(), feed);
+        self.replicate_feed(now, slice, &key);
+        self.moves.push_back((slice, key));
+    }
+}
+
+/// Packs a feed for a peer.
+pub(super) fn pack_feed(key: &FeedKey, feed: &Feed) -> peer::Feed {
+    peer::Feed {
+        flow: Some(peer::pack_flow(&key.flow)),
+        token: peer::pack_number(key.token.0),
+        server: feed.server.as_str().to_owned(),
+        datagram: feed.datagram.clone(),
+        sequence: feed.sequence,
+    }
+}
--- /dev/null
+++ b/src/engine/inbound.rs
@@ -0,0 +1,339 @@
+//! What comes from callers: routing to the slice's home, copies, admission.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::Engine;
+use crate::action::Action;
+use crate::action::Delivery;
+use crate::id;
+use crate::peer;
+use crate::reason::Reason;
+use crate::record::Intent;
+use crate::record::Parked;
+use crate::record::Phase;
+use crate::record::Record;
+use crate::record::Timer;
+use crate::request::Flow;
+use crate::request::Key;
+use crate::request::Kind;
+use crate::request::Outcome;
+use crate::request::Receipt;
+use crate::request::Request;
+use crate::snapshot::Service;
+
+/// Relays after which a datagram is dropped: tables that disagree could send it
+/// in a circle for ever.
+const MAX_HOPS: u32 = 3;
+
+/// How long a non-idempotent request may wait for its slice to get a home.
+/// It covers noticing a dead home and promoting its backup.
+pub(crate) const PARK_TIME: Duration = Duration::from_secs(5);
+
+/// How long an answer may take before receipt is acknowledged by itself; under
+/// the two seconds after which a caller repeats its request.
+const ACKNOWLEDGE_AFTER: Duration = Duration::from_secs(1);
+
+/// Where a datagram is to be handled.
+enum Route {
+    Here,
+    To(id::Holder),
+    Wait,
+}
+
+impl Engine {
+    pub(super) fn request(&mut self, now: Instant, request: Request, hops: u32) {
+        let known = self.snapshot.services.get(&request.flow.service);
+        let Some(service) = known.map(Arc::clone) else {
+            self.note(Reason::UnknownService);
+            return;
+        };
+        let slice = self.slice_of(&request.flow);
+        match self.route(slice, request.kind) {
+            Route::Here => self.serve(now, slice, &service, request),
+            Route::To(holder) => self.relay(&holder, &request.flow, request.datagram, hops),
+            Route::Wait => self.wait(now, request),
+        }
+    }
+
+    /// Idempotent work needs no authority: when the home cannot be heard, its
+    /// backup does it, and failing that the instance that has the datagram.
+    fn route(&self, slice: id::Slice, kind: Kind) -> Route {
+        let me = &self.settings.me;
+        let row = self.table.row(slice);
+        if row.is_home(me) {
+            return Route::Here;
+        }
+        let live = |holder: &&id::Holder| self.members.is_live(holder);
+        if let Some(home) = row.home.as_ref().filter(live) {
+            return Route::To(home.clone());
+        }
+        if !row.is_backup(me)
+            && let Some(backup) = row.backup.as_ref().filter(live)
+        {
+            return Route::To(backup.clone());
+        }
+        if kind.runs_once() {
+            Route::Wait
+        } else {
+            Route::Here
+        }
+    }
+
+    fn relay(&mut self, to: &id::Holder, flow: &Flow, datagram: Bytes, hops: u32) {
+        if hops >= MAX_HOPS {
+            self.note(Reason::TooManyHops);
+            return;
+        }
+        let body = peer::Body::Relay(peer::Relay {
+            flow: Some(peer::pack_flow(flow)),
+            datagram,
+            hops: hops + 1,
+        });
+        self.out.push(Action::Peer {
+            to: to.clone(),
+            body,
+        });
+        self.note(Reason::Relayed);
+    }
+
+    fn wait(&mut self, now: Instant, request: Request) {
+        let same = |parked: &Parked| {
+            parked.request.id == request.id && parked.request.flow == request.flow
+        };
+        if self.park.iter().any(same) {
+            return;
+        }
+        if self.park.len() >= self.settings.max_parked {
+            self.note(Reason::ParkFull);
+            return;
+        }
+        self.note(Reason::Parked);
+        self.park.push_back(Parked {
+            request,
+            until: now + PARK_TIME,
+        });
+    }
+
+    /// Tries the waiting requests again after the table or the view has changed.
+    pub(super) fn unpark(&mut self, now: Instant) {
+        for parked in std::mem::take(&mut self.park) {
+            let slice = self.slice_of(&parked.request.flow);
+            match self.route(slice, parked.request.kind) {
+                Route::Wait => self.park.push_back(parked),
+                _ => self.request(now, parked.request, 0),
+            }
+        }
+    }
+
+    /// Gives up on requests that have waited long enough.
+    pub(super) fn expire_parked(&mut self, now: Instant) {
+        while self.park.front().is_some_and(|parked| parked.until <= now) {
+            let Some(parked) = self.park.pop_front() else {
+                return;
+            };
+            // Another copy may have reached the home before it fell silent, so
+            // "not run" would be a guess.
+            self.turn_away(&parked.request, Outcome::Unknown, Reason::UnknownNoHome);
+        }
+    }
+
+    /// Answers without keeping a record.
+    fn turn_away(&mut self, request: &Request, outcome: Outcome, reason: Reason) {
+        let slice = self.slice_of(&request.flow);
+        self.note_request(reason, slice, &request.key());
+        self.out.push(Action::Answer {
+            flow: request.flow.clone(),
+            id: request.id,
+            token: request.token,
+            confirmable: request.confirmable,
+            delivery: Delivery::Direct,
+            sequence: None,
+            outcome,
+        });
+    }
+
+    fn serve(&mut self, now: Instant, slice: id::Slice, service: &Service, request: Request) {
+        let key = request.key();
+        let state = self.slices.entry(slice).or_default();
+        if state.records.contains_key(&key) {
+            self.copy(slice, &key, &request);
+        } else if request.kind.runs_once() {
+            self.admit_once(now, slice, service, request);
+        } else {
+            self.admit(now, slice, service, request);
+        }
+    }
+
+    /// A copy of a request that is known here never causes work.
+    fn copy(&mut self, slice: id::Slice, key: &Key, request: &Request) {
+        let Some(record) = self.slices.get(&slice).and_then(|s| s.records.get(key)) else {
+            return;
+        };
+        let separate = record.separate;
+        match record.phase.clone() {
+            Phase::Settled(outcome) => {
+                let sequence = record.sequence;
+                self.note_request(Reason::Replayed, slice, key);
+                self.out.push(Action::Answer {
+                    flow: key.flow.clone(),
+                    id: key.id,
+                    token: request.token,
+                    confirmable: request.confirmable,
+                    delivery: separate
+                        .map_or(Delivery::Direct, |message| Delivery::Separate { message }),
+                    sequence,
+                    outcome,
+                });
+            }
+            Phase::Claimed => {
+                self.turn_away(request, Outcome::Unknown, Reason::UnknownClaimed);
+            }
+            Phase::Claiming(_) | Phase::Sent => {
+                self.note_request(Reason::CopyIgnored, slice, key);
+                if separate.is_some() {
+                    self.out.push(Action::Acknowledge {
+                        flow: key.flow.clone(),
+                        id: key.id,
+                    });
+                }
+            }
+        }
+    }
+
+    fn admit_once(&mut self, now: Instant, slice: id::Slice, service: &Service, request: Request) {
+        let blank = self.slices.get(&slice).and_then(|state| state.blank_since);
+        if !self.members.has_authority(now) {
+            self.turn_away(&request, Outcome::Unknown, Reason::UnknownAuthority);
+            return;
+        }
+        // The records of an earlier home are lost. A request seen within one copy
+        // lifetime of the takeover may be a copy of one that it let run.
+        if blank.is_some_and(|since| now < since + service.profile.copy_lifetime()) {
+            self.turn_away(&request, Outcome::Unknown, Reason::UnknownBlank);
+            return;
+        }
+        if self.records >= self.settings.max_flows {
+            // Nothing can be kept of it, and "not run" would need a record that
+            // stops later copies.
+            self.turn_away(&request, Outcome::Unknown, Reason::RefusedLimit);
+            return;
+        }
+        let intent = match self.limit(slice, service, &request.flow) {
+            None => Intent::Forward,
+            Some(reason) => {
+                self.note_request(reason, slice, &request.key());
+                Intent::Refuse {
+                    retry_after: service.profile.retry_after_s,
+                }
+            }
+        };
+        let key = self.open(now, slice, service, request, Phase::Claiming(intent));
+        self.usage(&service.id)
+            .budget
+            .deposit(service.profile.retry_budget_percent);
+        self.claim(now, slice, &key);
+    }
+
+    fn admit(&mut self, now: Instant, slice: id::Slice, service: &Service, request: Request) {
+        let refusal = Outcome::NotRun {
+            retry_after: service.profile.retry_after_s,
+        };
+        if let Some(reason) = self.limit(slice, service, &request.flow) {
+            self.turn_away(&request, refusal, reason);
+            return;
+        }
+        let feeds = self.usage(&service.id).feeds;
+        if request.kind == Kind::Open
+            && (feeds >= service.profile.max_feeds || self.feeds >= self.settings.max_flows)
+        {
+            self.turn_away(&request, refusal, Reason::RefusedLimit);
+            return;
+        }
+        if request.kind == Kind::Close {
+            self.close_feed(now, slice, &request);
+        }
+        let key = self.open(now, slice, service, request, Phase::Sent);
+        self.usage(&service.id)
+            .budget
+            .deposit(service.profile.retry_budget_percent);
+        self.dispatch(now, slice, &key);
+    }
+
+    fn limit(&mut self, slice: id::Slice, service: &Service, flow: &Flow) -> Option<Reason> {
+        let busy = self
+            .slices
+            .get(&slice)
+            .and_then(|state| state.busy.get(flow));
+        if busy.is_some_and(|busy| *busy >= service.profile.max_per_caller) {
+            return Some(Reason::RefusedCaller);
+        }
+        let used = self.usage(&service.id).in_progress;
+        let share = service.profile.max_in_progress / u32::from(self.settings.workers);
+        (used >= share.max(1)).then_some(Reason::RefusedLimit)
+    }
+
+    fn open(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        service: &Service,
+        request: Request,
+        phase: Phase,
+    ) -> Key {
+        let key = request.key();
+        let record = Record {
+            phase,
+            kind: request.kind,
+            token: request.token,
+            confirmable: request.confirmable,
+            part: request.part,
+            born: now,
+            separate: None,
+            resends: 0,
+            sequence: None,
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            datagram: request.datagram,
+        };
+        let state = self.slices.entry(slice).or_default();
+        state.records.insert(key.clone(), record);
+        *state.busy.entry(key.flow.clone()).or_default() += 1;
+        self.records += 1;
+        self.usage(&service.id).in_progress += 1;
+        if request.confirmable {
+            let timer = Timer::Acknowledge(slice, key.clone());
+            self.schedule(now + ACKNOWLEDGE_AFTER, timer);
+        }
+        let timer = Timer::Deadline(slice, key.clone());
+        self.schedule(now + service.profile.deadline(), timer);
+        key
+    }
+
+    pub(super) fn receipt(
+        &mut self,
+        now: Instant,
+        flow: Flow,
+        message: u16,
+        receipt: Receipt,
+        hops: u32,
+        datagram: Bytes,
+    ) {
+        let slice = self.slice_of(&flow);
+        // The instance that sent the message is the one that waits for its
+        // receipt, even if the slice has just moved.
+        if let Some(id) = self.receipts.remove(&(flow.clone(), message)) {
+            self.confirm_answer(slice, &Key { flow, id });
+            return;
+        }
+        if self.feed_receipt(now, slice, &flow, message, receipt) {
+            return;
+        }
+        if let Route::To(holder) = self.route(slice, Kind::Close) {
+            self.relay(&holder, &flow, datagram, hops);
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/outbound.rs
@@ -0,0 +1,578 @@
+//! Forwarding to backend servers, their answers, and final outcomes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::ATTEMPT_BITS;
+use super::Engine;
+use crate::action::Action;
+use crate::action::Delivery;
+use crate::action::Note;
+use crate::balance;
+use crate::balance::Work;
+use crate::id;
+use crate::peer;
+use crate::reason::Reason;
+use crate::record::FeedKey;
+use crate::record::Phase;
+use crate::record::Purpose;
+use crate::record::Record;
+use crate::record::Sending;
+use crate::record::Timer;
+use crate::request::Answer;
+use crate::request::Flow;
+use crate::request::Key;
+use crate::request::Kind;
+use crate::request::Outcome;
+use crate::request::Verdict;
+use crate::server::Server;
+use crate::snapshot::Service;
+
+/// First wait for the receipt of a separate answer; doubled each time.
+const RESEND_AFTER: Duration = Duration::from_secs(2);
+
+/// Separate answers sent before the caller is taken to be gone.
+const MAX_RESENDS: u32 = 4;
+
+/// How long the server of a larger body's parts is remembered after the last one.
+const PIN_TIME: Duration = Duration::from_secs(60);
+
+/// How long copies are expected for a service whose profile is not known here.
+const DEFAULT_COPY_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Shortest pause given to a server that refused.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
+
+impl Engine {
+    pub(super) fn record(&mut self, slice: id::Slice, key: &Key) -> Option<&mut Record> {
+        self.slices.get_mut(&slice)?.records.get_mut(key)
+    }
+
+    pub(super) fn service(&self, id: &id::Service) -> Option<Arc<Service>> {
+        self.snapshot.services.get(id).map(Arc::clone)
+    }
+
+    fn deadline(&self, service: &id::Service) -> Duration {
+        self.service(service)
+            .map_or(Duration::ZERO, |service| service.profile.deadline())
+    }
+
+    /// The claim is safe: forward the request, or tell the caller that it is not run.
+    pub(super) fn proceed(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        use crate::record::Intent;
+        let authority = self.members.has_authority(now);
+        let deadline = self.deadline(&key.flow.service);
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        let Phase::Claiming(intent) = record.phase else {
+            return;
+        };
+        // After a pause of this process the acknowledgement can be read before the
+        // timer fires: the caller would have its booking run after it gave up.
+        if now >= record.born + deadline {
+            self.settle(now, slice, key, Outcome::Unknown, Reason::UnknownDeadline);
+            return;
+        }
+        // The limit may have passed while the acknowledgement was under way or
+        // this process was paused; another instance may decide by now.
+        if !authority {
+            self.settle(now, slice, key, Outcome::Unknown, Reason::UnknownAuthority);
+            return;
+        }
+        match intent {
+            Intent::Forward => self.dispatch(now, slice, key),
+            Intent::Refuse { retry_after } => {
+                let outcome = Outcome::NotRun { retry_after };
+                self.settle(now, slice, key, outcome, Reason::RefusedLimit);
+            }
+        }
+    }
+
+    /// Sends an open request to a server, or settles it if there is none.
+    pub(super) fn dispatch(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let Some(service) = self.service(&key.flow.service) else {
+            self.settle(now, slice, key, Outcome::Unknown, Reason::UnknownService);
+            return;
+        };
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        if !record.is_open() {
+            return;
+        }
+        let (part, kind) = (record.part, record.kind);
+        let tried = record.tried.clone();
+        let waiting = !record.attempts.is_empty();
+        let pinned = if part {
+            self.pinned(now, slice, &service, &key.flow, &tried)
+        } else {
+            None
+        };
+        let work = match kind {
+            Kind::Open => Work::Feed,
+            _ => Work::Request,
+        };
+        let choice = pinned.or_else(|| {
+            let zone = &self.settings.zone;
+            balance::choose(&service, &key.flow, work, zone, &tried, now, &mut self.rng)
+        });
+        match choice {
+            Some(server) => self.forward(now, slice, key, &service, server),
+            None if waiting => {}
+            None => {
+                let reason = if tried.is_empty() {
+                    Reason::RefusedNoServer
+                } else {
+                    Reason::RefusedByServer
+                };
+                let retry_after = service.profile.retry_after_s;
+                self.settle(now, slice, key, Outcome::NotRun { retry_after }, reason);
+            }
+        }
+    }
+
+    /// The server that has the other parts of the flow's larger body, even if it
+    /// is leaving: the body is work in progress there.
+    fn pinned(
+        &self,
+        now: Instant,
+        slice: id::Slice,
+        service: &Service,
+        flow: &Flow,
+        tried: &[id::Server],
+    ) -> Option<Arc<Server>> {
+        let (id, used) = self.slices.get(&slice)?.pins.get(flow)?;
+        let server = service.server(id)?;
+        let fresh = now < *used + PIN_TIME && !tried.contains(id);
+        let usable = fresh && server.state().is_confirmed(now);
+        usable.then(|| Arc::clone(server))
+    }
+
+    fn forward(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        service: &Service,
+        server: Arc<Server>,
+    ) {
+        let attempt = self.new_attempt();
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        record.phase = Phase::Sent;
+        record.attempts.push(attempt);
+        record.tried.push(server.id.clone());
+        let deadline = record.born + service.profile.deadline();
+        let once = record.kind.runs_once();
+        let part = record.part;
+        let datagram = record.datagram.clone();
+        if part && let Some(state) = self.slices.get_mut(&slice) {
+            let pin = (server.id.clone(), now);
+            state.pins.insert(key.flow.clone(), pin);
+        }
+        server.state().outstanding += 1;
+        if !once {
+            let timer = Timer::Attempt(slice, key.clone(), attempt);
+            self.schedule(now + service.profile.attempt_timeout(), timer);
+        }
+        self.sendings.insert(
+            attempt,
+            Sending {
+                slice,
+                purpose: Purpose::Request(key.clone()),
+                server: Arc::clone(&server),
+                since: now,
+            },
+        );
+        self.note_server(Reason::Forwarded, slice, key, &server, None);
+        self.out.push(Action::Forward {
+            server,
+            attempt,
+            service: service.id.clone(),
+            remaining: deadline.saturating_duration_since(now),
+            datagram,
+        });
+    }
+
+    pub(super) fn new_attempt(&mut self) -> id::Attempt {
+        let mask = (1 << ATTEMPT_BITS) - 1;
+        self.next_attempt = (self.next_attempt + 1) & mask;
+        id::Attempt(u64::from(self.settings.worker) << ATTEMPT_BITS | self.next_attempt)
+    }
+
+    /// An idempotent request's server is late: ask one more, within the budget.
+    pub(super) fn retry(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        attempt: id::Attempt,
+    ) {
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        if !record.is_open() || !record.attempts.contains(&attempt) {
+            return;
+        }
+        let tries = record.tried.len() as u32;
+        if let Some(sending) = self.sendings.get(&attempt) {
+            let server = Arc::clone(&sending.server);
+            self.blame(now, &server);
+        }
+        let Some(service) = self.service(&key.flow.service) else {
+            return;
+        };
+        if tries >= service.profile.max_attempts {
+            return;
+        }
+        if !self.usage(&service.id).budget.withdraw() {
+            self.note_request(Reason::RetryDenied, slice, key);
+            return;
+        }
+        self.note_request(Reason::Retried, slice, key);
+        self.dispatch(now, slice, key);
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        now: Instant,
+        from: id::Endpoint,
+        attempt: id::Attempt,
+        answer: Answer,
+    ) {
+        let sending = self.sendings.get(&attempt);
+        // An answer counts only if it comes from the server that was asked and
+        // the sending is still of use: anything else could be another request's.
+        let Some(sending) = sending.filter(|sending| sending.server.address == from) else {
+            self.note(Reason::ForeignAnswer);
+            if answer.feed {
+                self.out.push(Action::Reject {
+                    to: from,
+                    attempt,
+                    datagram: answer.datagram,
+                });
+            }
+            return;
+        };
+        let slice = sending.slice;
+        match sending.purpose.clone() {
+            Purpose::Request(key) => self.request_answer(now, slice, &key, attempt, answer),
+            Purpose::Feed(key) => self.feed_answer(now, slice, &key, attempt, answer),
+        }
+    }
+
+    fn request_answer(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        attempt: id::Attempt,
+        answer: Answer,
+    ) {
+        match answer.verdict {
+            Verdict::Refused => self.refused(now, slice, key, attempt, &answer),
+            Verdict::Handled => self.handled(now, slice, key, attempt, answer),
+        }
+    }
+
+    /// The server states that it did not start the request, so that another may.
+    fn refused(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        attempt: id::Attempt,
+        answer: &Answer,
+    ) {
+        let Some(sending) = self.drop_sending(attempt) else {
+            return;
+        };
+        self.pause(now, &sending.server, answer.retry_after);
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        record.attempts.retain(|open| *open != attempt);
+        let waiting = !record.attempts.is_empty();
+        let tries = record.tried.len() as u32;
+        let Some(service) = self.service(&key.flow.service) else {
+            return;
+        };
+        let more = tries < service.profile.max_attempts;
+        if more && self.usage(&service.id).budget.withdraw() {
+            self.note_request(Reason::Retried, slice, key);
+            self.dispatch(now, slice, key);
+        } else if !waiting {
+            let retry_after = answer.retry_after.unwrap_or(service.profile.retry_after_s);
+            let outcome = Outcome::NotRun { retry_after };
+            self.settle(now, slice, key, outcome, Reason::RefusedByServer);
+        }
+    }
+
+    fn pause(&mut self, now: Instant, server: &Server, retry_after: Option<u32>) {
+        let asked = Duration::from_secs(retry_after.unwrap_or(0).into());
+        let pause = asked.clamp(LEAST_PAUSE, Duration::from_secs(2));
+        server.state().paused_until = Some(now + pause);
+        self.note(Reason::ServerPaused);
+    }
+
+    fn handled(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        attempt: id::Attempt,
+        answer: Answer,
+    ) {
+        let Some(sending) = self.drop_sending(attempt) else {
+            return;
+        };
+        sending.server.state().failures = 0;
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        if !record.is_open() {
+            return;
+        }
+        record.attempts.retain(|open| *open != attempt);
+        let open = record.kind == Kind::Open && answer.feed;
+        let (token, datagram) = (record.token, record.datagram.clone());
+        if answer.more
+            && let Some(state) = self.slices.get_mut(&slice)
+        {
+            let pin = (sending.server.id.clone(), now);
+            state.pins.insert(key.flow.clone(), pin);
+        }
+        if open {
+            let feed = FeedKey {
+                flow: key.flow.clone(),
+                token,
+            };
+            let sequence = self.establish(now, slice, feed, datagram, attempt, &sending);
+            if let Some(record) = self.record(slice, key) {
+                record.sequence = Some(sequence);
+            }
+        }
+        let elapsed = now.duration_since(sending.since);
+        self.note_server(Reason::Answered, slice, key, &sending.server, Some(elapsed));
+        let outcome = Outcome::Answered(answer.datagram);
+        self.settle(now, slice, key, outcome, Reason::Answered);
+    }
+
+    /// Gives the final outcome at once and keeps it for copies where they matter.
+    pub(super) fn settle(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        outcome: Outcome,
+        reason: Reason,
+    ) {
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        if !record.is_open() {
+            return;
+        }
+        record.phase = Phase::Settled(outcome.clone());
+        record.datagram = bytes::Bytes::new();
+        let attempts = std::mem::take(&mut record.attempts);
+        let (kind, token, confirmable) = (record.kind, record.token, record.confirmable);
+        let (separate, sequence) = (record.separate, record.sequence);
+        for attempt in attempts {
+            self.drop_sending(attempt);
+        }
+        self.close_account(slice, key);
+        if reason != Reason::Answered {
+            self.note_request(reason, slice, key);
+        }
+        self.tell_new_home(slice, key, token, &outcome);
+        let delivery = separate.map_or(Delivery::Direct, |message| Delivery::Separate { message });
+        self.out.push(Action::Answer {
+            flow: key.flow.clone(),
+            id: key.id,
+            token,
+            confirmable,
+            delivery,
+            sequence,
+            outcome,
+        });
+        if let Some(message) = separate {
+            self.receipts.insert((key.flow.clone(), message), key.id);
+            self.schedule(now + RESEND_AFTER, Timer::Resend(slice, key.clone()));
+        }
+        if kind.runs_once() {
+            self.schedule_forget(now, slice, key);
+        } else if separate.is_none() {
+            self.forget(slice, key);
+        }
+    }
+
+    pub(super) fn close_account(&mut self, slice: id::Slice, key: &Key) {
+        let usage = self.usage(&key.flow.service);
+        usage.in_progress = usage.in_progress.saturating_sub(1);
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        if let Some(busy) = state.busy.get_mut(&key.flow) {
+            *busy = busy.saturating_sub(1);
+            if *busy == 0 {
+                state.busy.remove(&key.flow);
+            }
+        }
+    }
+
+    /// A request that was in progress here while its slice moved: the new home
+    /// answers copies, so it gets the answer too.
+    fn tell_new_home(
+        &mut self,
+        slice: id::Slice,
+        key: &Key,
+        token: crate::request::Token,
+        outcome: &Outcome,
+    ) {
+        let row = self.table.row(slice);
+        let Outcome::Answered(answer) = outcome else {
+            return;
+        };
+        let Some(home) = row.home.clone().filter(|home| *home != self.settings.me) else {
+            return;
+        };
+        self.out.push(Action::Peer {
+            to: home,
+            body: peer::Body::Settle(peer::Settle {
+                slice: slice.0,
+                flow: Some(peer::pack_flow(&key.flow)),
+                id: peer::pack_number(key.id.0),
+                token: peer::pack_number(token.0),
+                answer: answer.clone(),
+            }),
+        });
+    }
+
+    /// Ends a sending and gives its place at the server back.
+    pub(super) fn drop_sending(&mut self, attempt: id::Attempt) -> Option<Sending> {
+        let sending = self.sendings.remove(&attempt)?;
+        let mut state = sending.server.state();
+        match sending.purpose {
+            Purpose::Request(_) => state.outstanding = state.outstanding.saturating_sub(1),
+            Purpose::Feed(_) => state.feeds = state.feeds.saturating_sub(1),
+        }
+        drop(state);
+        Some(sending)
+    }
+
+    pub(super) fn schedule_forget(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let lifetime = self.copy_lifetime(&key.flow.service);
+        self.schedule(now + lifetime, Timer::Forget(slice, key.clone()));
+    }
+
+    pub(super) fn copy_lifetime(&self, service: &id::Service) -> Duration {
+        self.service(service)
+            .map_or(DEFAULT_COPY_LIFETIME, |service| {
+                service.profile.copy_lifetime()
+            })
+    }
+
+    pub(super) fn forget(&mut self, slice: id::Slice, key: &Key) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let Some(record) = state.records.remove(key) else {
+            return;
+        };
+        self.records -= 1;
+        if let Some(message) = record.separate {
+            self.receipts.remove(&(key.flow.clone(), message));
+        }
+    }
+
+    /// The caller has a separate answer.
+    pub(super) fn confirm_answer(&mut self, slice: id::Slice, key: &Key) {
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        record.resends = MAX_RESENDS;
+        if !record.kind.runs_once() {
+            self.forget(slice, key);
+        }
+    }
+
+    /// The receipt of a separate answer is late: send it again.
+    pub(super) fn resend(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        let (Phase::Settled(outcome), Some(message)) = (record.phase.clone(), record.separate)
+        else {
+            return;
+        };
+        if record.resends >= MAX_RESENDS {
+            if !record.kind.runs_once() {
+                self.forget(slice, key);
+            }
+            return;
+        }
+        record.resends += 1;
+        let wait = RESEND_AFTER * 2u32.pow(record.resends);
+        let (token, confirmable, sequence) = (record.token, record.confirmable, record.sequence);
+        self.schedule(now + wait, Timer::Resend(slice, key.clone()));
+        self.out.push(Action::Answer {
+            flow: key.flow.clone(),
+            id: key.id,
+            token,
+            confirmable,
+            delivery: Delivery::Separate { message },
+            sequence,
+            outcome,
+        });
+    }
+
+    /// Counts a failure of a server and lets it rest after too many in a row.
+    pub(super) fn blame(&mut self, now: Instant, server: &Server) {
+        let failures = server.fail();
+        let Some(service) = self.service(&server.service) else {
+            return;
+        };
+        if failures < service.profile.eject_after {
+            return;
+        }
+        // When most servers look bad, the cause is more likely on our side or
+        // shared by all: sending everything to the few left would break them too.
+        let away = |server: &&Arc<Server>| server.state().is_resting(now);
+        let resting = service.servers.iter().filter(away).count();
+        let floor = service.servers.len() * service.profile.eject_floor_percent as usize;
+        let stay = (service.servers.len() - resting).saturating_sub(1) * 100;
+        if stay < floor {
+            self.note(Reason::EjectionDenied);
+            return;
+        }
+        let rest = Duration::from_secs(service.profile.eject_rest_s);
+        let mut state = server.state();
+        state.failures = 0;
+        state.ejected_until = Some(now + rest);
+        drop(state);
+        self.note(Reason::Ejected);
+    }
+
+    pub(super) fn note_server(
+        &mut self,
+        reason: Reason,
+        slice: id::Slice,
+        key: &Key,
+        server: &Server,
+        elapsed: Option<Duration>,
+    ) {
+        self.out.push(Action::Note(Note {
+            flow: Some(key.flow.clone()),
+            request: Some(key.id),
+            slice: Some(slice),
+            server: Some(server.id.clone()),
+            elapsed,
+            ..Note::new(reason)
+        }));
+    }
+}
--- /dev/null
+++ b/src/engine/replica.rs
@@ -0,0 +1,551 @@
+//! Replication between home and backup, and changes of the slice table.
+//!
+//! Three rules carry the promise that a non-idempotent request runs at most once
+//! whatever is killed, cut or frozen:
+//!
+//! 1. A home forwards a request only after its backup has acknowledged the claim.
+//! 2. A backup keeps every claim before it acknowledges it, and acknowledges none
+//!    once it knows itself to be home. One worker does both, so no claim falls
+//!    between the two.
+//! 3. A new home never runs what was claimed before.
+//!
+//! A home that thaws after its backup took over can still forward what was
+//! acknowledged before, which the new home will not run, and nothing else.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Engine;
+use super::feed::RELEASE_AFTER;
+use super::feed::pack_feed;
+use crate::action::Action;
+use crate::error::Result;
+use crate::id;
+use crate::member::View;
+use crate::peer;
+use crate::reason::Reason;
+use crate::record::Feed;
+use crate::record::FeedKey;
+use crate::record::Pending;
+use crate::record::Phase;
+use crate::record::Record;
+use crate::record::Replica;
+use crate::record::Role;
+use crate::record::Slice;
+use crate::request::Key;
+use crate::request::Outcome;
+use crate::request::Request;
+use crate::request::Token;
+use crate::table::Row;
+use crate::table::Table;
+
+/// Steps of a first copy that may be under way at once: more would overflow the
+/// receiver's socket and be sent again for nothing.
+const WINDOW: usize = 64;
+
+/// Wait before a step is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(100);
+
+/// The same, to a backup that is not heard.
+const RESEND_SILENT: Duration = Duration::from_secs(1);
+
+impl Engine {
+    /// Claims a request at the backup; it proceeds once that is acknowledged.
+    pub(super) fn claim(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let alone = self
+            .slices
+            .get(&slice)
+            .is_none_or(|state| state.replica.is_none());
+        if alone {
+            self.proceed(now, slice, key);
+            return;
+        }
+        self.note_request(Reason::Claimed, slice, key);
+        let item = peer::Item::Claim(pack_claim(key));
+        self.replicate(now, slice, item, Some(key.clone()));
+    }
+
+    /// Sends one step to the backup, if there is one.
+    pub(super) fn replicate(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        item: peer::Item,
+        waiter: Option<Key>,
+    ) {
+        let number = self.next_number + 1;
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let Some(replica) = &mut state.replica else {
+            return;
+        };
+        self.next_number = number;
+        self.unacknowledged.insert(slice);
+        let pending = Pending {
+            item: item.clone(),
+            sent: Some(now),
+            waiter,
+        };
+        replica.pending.insert(number, pending);
+        let to = replica.holder.clone();
+        let epoch = state.epoch;
+        self.send_step(&to, slice, epoch, number, item);
+    }
+
+    fn send_step(
+        &mut self,
+        to: &id::Holder,
+        slice: id::Slice,
+        epoch: id::Epoch,
+        number: u64,
+        item: peer::Item,
+    ) {
+        self.out.push(Action::Peer {
+            to: to.clone(),
+            body: peer::Body::Replicate(peer::Replicate {
+                slice: slice.0,
+                epoch: epoch.0,
+                number,
+                item: Some(item),
+            }),
+        });
+    }
+
+    /// Sends steps that wait for room, and again those that are late.
+    pub(super) fn pump(&mut self, now: Instant) {
+        let slices: Vec<id::Slice> = self.unacknowledged.iter().copied().collect();
+        for slice in slices {
+            self.pump_slice(now, slice);
+        }
+    }
+
+    fn pump_slice(&mut self, now: Instant, slice: id::Slice) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            self.unacknowledged.remove(&slice);
+            return;
+        };
+        let epoch = state.epoch;
+        let Some(replica) = state.replica.as_mut().filter(|r| !r.pending.is_empty()) else {
+            self.unacknowledged.remove(&slice);
+            return;
+        };
+        let to = replica.holder.clone();
+        let wait = if self.members.is_live(&to) {
+            RESEND_AFTER
+        } else {
+            RESEND_SILENT
+        };
+        let mut due = Vec::new();
+        for (number, pending) in replica.pending.iter_mut().take(WINDOW) {
+            if pending.sent.is_none_or(|sent| now >= sent + wait) {
+                pending.sent = Some(now);
+                due.push((*number, pending.item.clone()));
+            }
+        }
+        for (number, item) in due {
+            self.send_step(&to, slice, epoch, number, item);
+        }
+    }
+
+    /// Copies everything to a new backup. From now on claims wait for it.
+    pub(super) fn join(&mut self, now: Instant, slices: &[id::Slice], backup: &id::Holder) {
+        for slice in slices {
+            if self.table.row(*slice).is_home(&self.settings.me) {
+                self.join_slice(now, *slice, backup);
+            }
+        }
+    }
+
+    fn join_slice(&mut self, now: Instant, slice: id::Slice, backup: &id::Holder) {
+        let state = self.slices.entry(slice).or_default();
+        if state
+            .replica
+            .as_ref()
+            .is_some_and(|replica| replica.installed)
+        {
+            return;
+        }
+        let waiters = state.replica.take().map(waiters).unwrap_or_default();
+        let mut items = vec![peer::Item::Begin(peer::Begin {})];
+        let runs_once = |(key, record): (&Key, &Record)| {
+            let claim = record.kind.runs_once() && !waiters.contains(key);
+            claim.then(|| peer::Item::Claim(pack_claim(key)))
+        };
+        items.extend(state.records.iter().filter_map(runs_once));
+        let feeds = state.feeds.iter();
+        items.extend(feeds.map(|(key, feed)| peer::Item::Feed(pack_feed(key, feed))));
+        let mut pending = BTreeMap::new();
+        for item in items {
+            self.next_number += 1;
+            let step = Pending {
+                item,
+                sent: None,
+                waiter: None,
+            };
+            pending.insert(self.next_number, step);
+        }
+        state.replica = Some(Replica {
+            holder: backup.clone(),
+            installed: false,
+            complete: false,
+            copied: self.next_number,
+            pending,
+        });
+        self.unacknowledged.insert(slice);
+        for key in waiters {
+            self.claim(now, slice, &key);
+        }
+        self.pump_slice(now, slice);
+    }
+
+    /// Goes on without a backup that was being joined.
+    pub(super) fn abandon(&mut self, now: Instant, slices: &[id::Slice]) {
+        for slice in slices {
+            let Some(state) = self.slices.get_mut(slice) else {
+                continue;
+            };
+            if state.replica.as_ref().is_some_and(|r| !r.installed) {
+                self.drop_replica(now, *slice);
+            }
+        }
+    }
+
+    fn drop_replica(&mut self, now: Instant, slice: id::Slice) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let keys = state.replica.take().map(waiters).unwrap_or_default();
+        for key in keys {
+            self.proceed(now, slice, &key);
+        }
+    }
+
+    pub(super) fn peer(&mut self, now: Instant, from: id::Holder, body: peer::Body) {
+        let handled = match body {
+            peer::Body::Replicate(message) => self.keep(now, &from, message),
+            peer::Body::Replicated(message) => {
+                self.acknowledged(now, &from, &message);
+                Ok(())
+            }
+            peer::Body::Settle(message) => self.settled_elsewhere(message),
+            peer::Body::Adopt(message) => self.adopted(now, message),
+            // The rest belongs to the edge or to the control task.
+            _ => Ok(()),
+        };
+        if handled.is_err() {
+            self.note(Reason::BadPeerMessage);
+        }
+    }
+
+    /// As backup: keeps one step and acknowledges it.
+    fn keep(&mut self, now: Instant, from: &id::Holder, message: peer::Replicate) -> Result<()> {
+        let slice = id::Slice(message.slice);
+        let epoch = id::Epoch(message.epoch);
+        if message.slice >= self.table.len() || !self.accepts(slice, from, epoch) {
+            return Ok(());
+        }
+        let state = self.slices.entry(slice).or_default();
+        state.seen = state.seen.max(epoch);
+        match message.item {
+            Some(peer::Item::Claim(claim)) => {
+                let key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
+                self.keep_claim(now, slice, key);
+            }
+            Some(peer::Item::Feed(feed)) => {
+                let (key, feed) = unpack_feed(now, message.number, feed)?;
+                self.remove_feed(slice, &key);
+                self.insert_feed(slice, key, feed);
+            }
+            Some(peer::Item::FeedEnd(end)) => {
+                let flow = peer::unpack_flow(end.flow.as_ref())?;
+                let token = Token(peer::unpack_number(&end.token)?);
+                self.remove_feed(slice, &FeedKey { flow, token });
+            }
+            Some(peer::Item::Begin(_)) => self.begin_copy(slice, message.number),
+            None => {}
+        }
+        self.out.push(Action::Peer {
+            to: from.clone(),
+            body: peer::Body::Replicated(peer::Replicated {
+                slice: message.slice,
+                epoch: message.epoch,
+                number: message.number,
+            }),
+        });
+        Ok(())
+    }
+
+    /// Whether a claim of this sender may still be acknowledged.
+    fn accepts(&self, slice: id::Slice, from: &id::Holder, epoch: id::Epoch) -> bool {
+        let row = self.table.row(slice);
+        if row.is_home(&self.settings.me) || epoch < row.epoch {
+            return false;
+        }
+        // At the row's own epoch the table says who is home. At a greater one
+        // this instance's table is behind; the sender has read a newer one.
+        if epoch == row.epoch && !row.is_home(from) {
+            return false;
+        }
+        let state = self.slices.get(&slice);
+        state.is_none_or(|state| epoch >= state.seen)
+    }
+
+    fn keep_claim(&mut self, now: Instant, slice: id::Slice, key: Key) {
+        let state = self.slices.entry(slice).or_default();
+        if state.records.contains_key(&key) {
+            return;
+        }
+        state.records.insert(key.clone(), Record::claimed(now));
+        self.records += 1;
+        self.schedule_forget(now, slice, &key);
+    }
+
+    /// Feeds from before the new copy are outdated; claims never are.
+    fn begin_copy(&mut self, slice: id::Slice, number: u64) {
+        let Some(state) = self.slices.get(&slice) else {
+            return;
+        };
+        let outdated = |(key, feed): (&FeedKey, &Feed)| {
+            let old = feed.stamp < number && feed.attempt.is_none();
+            old.then(|| key.clone())
+        };
+        let keys: Vec<FeedKey> = state.feeds.iter().filter_map(outdated).collect();
+        for key in keys {
+            self.remove_feed(slice, &key);
+        }
+    }
+
+    /// As home: the backup has a step.
+    fn acknowledged(&mut self, now: Instant, from: &id::Holder, message: &peer::Replicated) {
+        let slice = id::Slice(message.slice);
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let Some(replica) = state.replica.as_mut().filter(|r| r.holder == *from) else {
+            return;
+        };
+        let Some(pending) = replica.pending.remove(&message.number) else {
+            return;
+        };
+        let first = replica.pending.keys().next();
+        let copied = first.is_none_or(|first| *first > replica.copied);
+        if copied && !replica.complete {
+            replica.complete = true;
+            let backup = replica.holder.clone();
+            self.out.push(Action::Joined { slice, backup });
+        } else if !copied {
+            self.pump_slice(now, slice);
+        }
+        if let Some(key) = pending.waiter {
+            self.proceed(now, slice, &key);
+        }
+    }
+
+    fn settled_elsewhere(&mut self, message: peer::Settle) -> Result<()> {
+        let slice = id::Slice(message.slice);
+        let key = peer::unpack_key(message.flow.as_ref(), &message.id)?;
+        let token = Token(peer::unpack_number(&message.token)?);
+        if let Some(record) = self.record(slice, &key)
+            && record.phase == Phase::Claimed
+        {
+            record.phase = Phase::Settled(Outcome::Answered(message.answer));
+            record.token = token;
+        }
+        Ok(())
+    }
+
+    fn adopted(&mut self, now: Instant, message: peer::Adopt) -> Result<()> {
+        if message.slice >= self.table.len() {
+            return Ok(());
+        }
+        let feed = message.feed.unwrap_or_default();
+        let (key, feed) = unpack_feed(now, 0, feed)?;
+        self.adopt(now, id::Slice(message.slice), key, feed);
+        Ok(())
+    }
+
+    pub(super) fn take_members(&mut self, now: Instant, members: Arc<View>) {
+        let before = std::mem::replace(&mut self.members, members);
+        if before.live == self.members.live {
+            return;
+        }
+        let mine = |(slice, _): &(id::Slice, &Row)| self.owns(*slice);
+        let slices: Vec<id::Slice> = self.table.rows().filter(mine).map(|(s, _)| s).collect();
+        for slice in slices {
+            self.review(now, slice);
+        }
+        self.unpark(now);
+    }
+
+    /// Takes up or hands back the feeds of a slice after the view has changed.
+    fn review(&mut self, now: Instant, slice: id::Slice) {
+        let row = self.table.row(slice);
+        if row.is_home(&self.settings.me) || !self.slices.contains_key(&slice) {
+            return;
+        }
+        let backup = row.is_backup(&self.settings.me);
+        match (self.tends(slice), backup) {
+            (true, true) => self.activate_feeds(slice),
+            (true, false) => {}
+            (false, _) => self.return_feeds(now, slice),
+        }
+    }
+
+    pub(super) fn take_table(&mut self, now: Instant, table: Arc<Table>) {
+        let before = std::mem::replace(&mut self.table, table);
+        let rows: Vec<(id::Slice, Row)> = self
+            .table
+            .rows()
+            .filter(|(slice, row)| {
+                let known = before.rows().nth(slice.0 as usize);
+                self.owns(*slice) && known.is_none_or(|(_, known)| known != *row)
+            })
+            .map(|(slice, row)| (slice, row.clone()))
+            .collect();
+        for (slice, row) in rows {
+            self.take_row(now, slice, row);
+        }
+        self.unpark(now);
+    }
+
+    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row) {
+        let state = self.slices.entry(slice).or_default();
+        let before = std::mem::take(&mut state.role);
+        state.epoch = row.epoch;
+        if row.is_home(&self.settings.me) {
+            state.role = Role::Home;
+            if before != Role::Home {
+                self.become_home(now, slice, &row);
+            }
+            self.take_backup(now, slice, row.backup);
+            return;
+        }
+        if row.is_backup(&self.settings.me) {
+            state.role = Role::Backup;
+        }
+        if before == Role::Home {
+            self.step_down(now, slice);
+        } else {
+            self.review(now, slice);
+        }
+    }
+
+    fn become_home(&mut self, now: Instant, slice: id::Slice, row: &Row) {
+        let state = self.slices.entry(slice).or_default();
+        state.blank_since = row.blank.then_some(now);
+        state.replica = None;
+        self.activate_feeds(slice);
+        self.note(Reason::HomeGained);
+    }
+
+    /// Another instance is home: what was not forwarded yet goes there, what is at
+    /// a server is finished here.
+    fn step_down(&mut self, now: Instant, slice: id::Slice) {
+        self.note(Reason::HomeLost);
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        state.replica = None;
+        state.blank_since = None;
+        let waiting = |(key, record): (&Key, &Record)| {
+            matches!(record.phase, Phase::Claiming(_)).then(|| key.clone())
+        };
+        let keys: Vec<Key> = state.records.iter().filter_map(waiting).collect();
+        for key in keys {
+            self.pass_on(now, slice, &key);
+        }
+        self.releases.push_back((now + RELEASE_AFTER, slice));
+    }
+
+    fn pass_on(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        let request = Request {
+            flow: key.flow.clone(),
+            id: key.id,
+            token: record.token,
+            kind: record.kind,
+            confirmable: record.confirmable,
+            part: record.part,
+            datagram: record.datagram.clone(),
+        };
+        self.close_record(slice, key);
+        self.request(now, request, 0);
+    }
+
+    fn close_record(&mut self, slice: id::Slice, key: &Key) {
+        self.close_account(slice, key);
+        self.forget(slice, key);
+    }
+
+    /// As home: follows what the row says about the backup.
+    fn take_backup(&mut self, now: Instant, slice: id::Slice, backup: Option<id::Holder>) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let known = state.replica.as_mut();
+        match (backup, known) {
+            (None, Some(replica)) if replica.installed => self.drop_replica(now, slice),
+            (None, _) => {}
+            (Some(backup), Some(replica)) if replica.holder == backup => {
+                replica.installed = true;
+                self.note(Reason::BackupJoined);
+            }
+            (Some(backup), _) => self.replace_replica(now, slice, backup),
+        }
+    }
+
+    fn replace_replica(&mut self, now: Instant, slice: id::Slice, backup: id::Holder) {
+        let Slice { replica, .. } = self.slices.entry(slice).or_default();
+        let fresh = Replica {
+            holder: backup,
+            installed: true,
+            complete: true,
+            copied: self.next_number,
+            pending: BTreeMap::new(),
+        };
+        let keys = replica.replace(fresh).map(waiters).unwrap_or_default();
+        for key in keys {
+            self.claim(now, slice, &key);
+        }
+    }
+}
+
+/// Requests that wait for a replica's acknowledgements.
+fn waiters(replica: Replica) -> Vec<Key> {
+    let pending = replica.pending.into_values();
+    pending.filter_map(|pending| pending.waiter).collect()
+}
+
+fn pack_claim(key: &Key) -> peer::Claim {
+    peer::Claim {
+        flow: Some(peer::pack_flow(&key.flow)),
+        id: peer::pack_number(key.id.0),
+    }
+}
+
+fn unpack_feed(now: Instant, stamp: u64, feed: peer::Feed) -> Result<(FeedKey, Feed)> {
+    let key = FeedKey {
+        flow: peer::unpack_flow(feed.flow.as_ref())?,
+        token: Token(peer::unpack_number(&feed.token)?),
+    };
+    let feed = Feed {
+        datagram: feed.datagram,
+        server: feed.server.parse()?,
+        attempt: None,
+        renewal: None,
+        failed: Vec::new(),
+        sequence: feed.sequence,
+        heard: now,
+        confirmed: now,
+        unconfirmed: 0,
+        due: now,
+        stamp,
+    };
+    Ok((key, feed))
+}
--- /dev/null
+++ b/src/record.rs
@@ -0,0 +1,222 @@
+//! What is kept of one request, of one feed and of one slice.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use crate::id;
+use crate::peer;
+use crate::request::Flow;
+use crate::request::Id;
+use crate::request::Key;
+use crate::request::Kind;
+use crate::request::Outcome;
+use crate::request::Token;
+use crate::server::Server;
+
+/// What a claim leads to once the backup has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Intent {
+    Forward,
+    Refuse { retry_after: u32 },
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Waiting for the backup to acknowledge the claim; not forwarded.
+    Claiming(Intent),
+    /// At one or more servers.
+    Sent,
+    /// Has its final outcome, kept for copies.
+    Settled(Outcome),
+    /// Claimed by an earlier home; it may have run.
+    Claimed,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) phase: Phase,
+    pub(crate) kind: Kind,
+    pub(crate) token: Token,
+    pub(crate) confirmable: bool,
+    pub(crate) part: bool,
+    pub(crate) born: Instant,
+    /// Number of the separate answer, once receipt has been acknowledged.
+    pub(crate) separate: Option<u16>,
+    /// Separate answers sent so far without a receipt.
+    pub(crate) resends: u32,
+    pub(crate) sequence: Option<u32>,
+    pub(crate) attempts: Vec<id::Attempt>,
+    pub(crate) tried: Vec<id::Server>,
+    /// The caller's datagram, dropped when no sending can follow.
+    pub(crate) datagram: Bytes,
+}
+
+impl Record {
+    /// What a backup keeps of a claim.
+    pub(crate) fn claimed(now: Instant) -> Self {
+        Self {
+            phase: Phase::Claimed,
+            kind: Kind::Once,
+            token: Token(0),
+            confirmable: true,
+            part: false,
+            born: now,
+            separate: None,
+            resends: 0,
+            sequence: None,
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            datagram: Bytes::new(),
+        }
+    }
+
+    /// Whether its final outcome is known.
+    pub(crate) fn is_settled(&self) -> bool {
+        matches!(self.phase, Phase::Settled(_))
+    }
+
+    /// Whether this instance works on it.
+    pub(crate) fn is_open(&self) -> bool {
+        matches!(self.phase, Phase::Claiming(_) | Phase::Sent)
+    }
+}
+
+/// Name of a feed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct FeedKey {
+    pub(crate) flow: Flow,
+    pub(crate) token: Token,
+}
+
+/// A registration under way beside the one in use.
+#[derive(Clone, Debug)]
+pub(crate) struct Renewal {
+    pub(crate) attempt: id::Attempt,
+    pub(crate) server: id::Server,
+    pub(crate) since: Instant,
+}
+
+/// One feed.
+#[derive(Clone, Debug)]
+pub(crate) struct Feed {
+    pub(crate) datagram: Bytes,
+    pub(crate) server: id::Server,
+    /// The registration in use; none while this instance only keeps a copy.
+    pub(crate) attempt: Option<id::Attempt>,
+    pub(crate) renewal: Option<Renewal>,
+    /// Servers that failed to take the feed since it was last heard.
+    pub(crate) failed: Vec<id::Server>,
+    pub(crate) sequence: u32,
+    pub(crate) heard: Instant,
+    /// When the caller last showed that it is there.
+    pub(crate) confirmed: Instant,
+    /// Confirmable notifications without a receipt.
+    pub(crate) unconfirmed: u32,
+    /// When it is looked after next; a timer for another time is outdated.
+    pub(crate) due: Instant,
+    /// As a copy: number of the replication step that brought it.
+    pub(crate) stamp: u64,
+}
+
+/// What this instance is for a slice.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Role {
+    #[default]
+    None,
+    Home,
+    Backup,
+}
+
+/// A replication step that is not acknowledged yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) item: peer::Item,
+    /// When it was last sent; none while it waits for room.
+    pub(crate) sent: Option<Instant>,
+    /// The request that waits for it.
+    pub(crate) waiter: Option<Key>,
+}
+
+/// A backup as its home sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub(crate) holder: id::Holder,
+    /// Whether the table names it.
+    pub(crate) installed: bool,
+    /// Whether the control task was told that it has everything.
+    pub(crate) complete: bool,
+    pub(crate) pending: BTreeMap<u64, Pending>,
+    /// Number of the last step of the first copy.
+    pub(crate) copied: u64,
+}
+
+/// Everything kept for one slice.
+#[derive(Debug, Default)]
+pub(crate) struct Slice {
+    pub(crate) role: Role,
+    pub(crate) epoch: id::Epoch,
+    /// As backup: the greatest epoch under which a home has replicated to us.
+    pub(crate) seen: id::Epoch,
+    /// As home without the records: since when.
+    pub(crate) blank_since: Option<Instant>,
+    pub(crate) replica: Option<Replica>,
+    pub(crate) records: HashMap<Key, Record>,
+    pub(crate) feeds: BTreeMap<FeedKey, Feed>,
+    /// Servers that hold parts of larger bodies, with the time of last use.
+    pub(crate) pins: HashMap<Flow, (id::Server, Instant)>,
+    /// Open requests by flow.
+    pub(crate) busy: HashMap<Flow, u32>,
+}
+
+/// What a sending was for.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    Request(Key),
+    Feed(FeedKey),
+}
+
+/// A sending whose answer is still of use.
+#[derive(Clone, Debug)]
+pub(crate) struct Sending {
+    pub(crate) slice: id::Slice,
+    pub(crate) purpose: Purpose,
+    pub(crate) server: Arc<Server>,
+    pub(crate) since: Instant,
+}
+
+/// A non-idempotent request that waits for its slice to get a home.
+#[derive(Clone, Debug)]
+pub(crate) struct Parked {
+    pub(crate) request: crate::request::Request,
+    pub(crate) until: Instant,
+}
+
+/// What waits for a point in time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// Acknowledge receipt if no answer came yet.
+    Acknowledge(id::Slice, Key),
+    /// The attempt took too long.
+    Attempt(id::Slice, Key, id::Attempt),
+    /// The request's time is over.
+    Deadline(id::Slice, Key),
+    /// The separate answer has no receipt.
+    Resend(id::Slice, Key),
+    /// The record is not needed any more.
+    Forget(id::Slice, Key),
+    /// Look after the feed.
+    Feed(id::Slice, FeedKey),
+}
+
+/// Requests that wait, oldest first.
+pub(crate) type Park = VecDeque<Parked>;
+
+/// A separate answer that waits for its receipt, by message number.
+pub(crate) type Receipts = HashMap<(Flow, u16), Id>;
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,162 @@
+//! Backend servers as this instance sees them.
+//!
+//! A [`Server`] is shared by all workers. Its state sits behind a lock of its
+//! own, which is always the last one taken and is held for a few instructions.
+//! What this instance saw itself counts for more than what health answers say.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::document::Profile;
+use crate::document::State as Listed;
+use crate::id;
+
+/// A backend server that may be chosen for work.
+#[derive(Debug)]
+pub struct Server {
+    /// Its name.
+    pub id: id::Server,
+    /// The service that it is listed for.
+    pub service: id::Service,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where requests are sent.
+    pub address: id::Endpoint,
+    /// Where health is asked.
+    pub health: id::Endpoint,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    state: Mutex<State>,
+}
+
+/// What is known of a server right now.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// Requests of ours in progress there.
+    pub outstanding: u32,
+    /// Requests of other instances in progress there, as they last told.
+    pub elsewhere: u32,
+    /// Feeds of ours open there.
+    pub feeds: u32,
+    /// Feeds of other instances open there, as they last told.
+    pub feeds_elsewhere: u32,
+    /// What the platform's list says.
+    pub listed: Listed,
+    /// Whether an operator or the server itself says that it is leaving.
+    pub leaving: bool,
+    /// Until when the address is known to run the listed service.
+    pub confirmed_until: Option<Instant>,
+    /// When it was first confirmed; the start of its slow start.
+    pub up_since: Option<Instant>,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Until when it rests.
+    pub ejected_until: Option<Instant>,
+    /// Until when it has asked for a pause.
+    pub paused_until: Option<Instant>,
+}
+
+impl Server {
+    /// A server as listed, not yet confirmed.
+    pub fn new(id: id::Server, listed: &crate::document::Server) -> Self {
+        Self {
+            id,
+            service: listed.service.clone(),
+            zone: listed.zone.clone(),
+            address: listed.address,
+            health: listed.health,
+            slots: listed.slots.max(1),
+            state: Mutex::new(State {
+                outstanding: 0,
+                elsewhere: 0,
+                feeds: 0,
+                feeds_elsewhere: 0,
+                listed: listed.state,
+                leaving: false,
+                confirmed_until: None,
+                up_since: None,
+                failures: 0,
+                ejected_until: None,
+                paused_until: None,
+            }),
+        }
+    }
+
+    /// The state, locked.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        // A panic elsewhere leaves counts that are still usable.
+        self.state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Notes a health answer that named the listed service.
+    pub fn confirm(&self, now: Instant, valid: Duration) {
+        let mut state = self.state();
+        state.confirmed_until = Some(now + valid);
+        state.up_since.get_or_insert(now);
+    }
+
+    /// Notes that the address runs something else.
+    pub fn disown(&self) {
+        let mut state = self.state();
+        state.confirmed_until = None;
+        state.up_since = None;
+    }
+
+    /// Notes a failure; the caller of this decides about ejection.
+    pub fn fail(&self) -> u32 {
+        let mut state = self.state();
+        state.failures += 1;
+        state.failures
+    }
+}
+
+impl State {
+    /// Whether the address is known to run the listed service at this moment.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmed_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it is leaving, by any signal.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.listed == Listed::Leaving
+    }
+
+    /// Whether it rests after failures or asked for a pause.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        let later = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        later(self.ejected_until) || later(self.paused_until)
+    }
+
+    /// Whether new work may be sent.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now)
+    }
+
+    /// Requests in progress, everyone's.
+    pub fn load(&self) -> u32 {
+        self.outstanding + self.elsewhere
+    }
+
+    /// Feeds open, everyone's.
+    pub fn feed_load(&self) -> u32 {
+        self.feeds + self.feeds_elsewhere
+    }
+
+    /// Share of its full weight, from 0.1 at the start to 1 when warm.
+    pub fn warmth(&self, now: Instant, profile: &Profile) -> f64 {
+        const LEAST: f64 = 0.1;
+        let Some(since) = self.up_since else {
+            return LEAST;
+        };
+        if profile.slow_start_s == 0 {
+            return 1.0;
+        }
+        let share = now.duration_since(since).as_secs_f64() / profile.slow_start_s as f64;
+        share.clamp(LEAST, 1.0)
+    }
+}
