--- /dev/null
+++ b/src/allowance.rs
@@ -0,0 +1,94 @@
+//! Token buckets that keep this instance inside its share of what others serve.
+//!
+//! A call that finds its bucket empty is refused at once. Queueing it instead
+//! would only hide the overload until its caller has given up.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// Something counted per second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate(pub u32);
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let count = text.strip_suffix("/s").unwrap_or(text);
+        count.parse().map(Self).map_err(|_| Error::Number {
+            kind: "rate",
+            value: text.to_owned(),
+        })
+    }
+}
+
+/// Share of a bucket, as a divisor, that only urgent calls may use.
+const RESERVE: f64 = 10.0;
+
+/// A token bucket that holds at most one second's worth of calls.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: Rate,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: Rate, now: Instant) -> Self {
+        Self {
+            rate,
+            tokens: f64::from(rate.0),
+            filled: now,
+        }
+    }
+
+    /// Calls allowed per second.
+    pub fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// Takes a token for an ordinary call, if one is left beside the reserve.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.take_above((f64::from(self.rate.0) / RESERVE).floor(), now)
+    }
+
+    /// Takes a token for a call that must not wait behind ordinary ones.
+    ///
+    /// Without the reserve a burst of ordinary calls would starve the keepalive
+    /// of a lease, which shows as an instance dying in good health. Keepalives
+    /// come less than once a second, so a tenth of the bucket is enough.
+    pub fn take_urgent(&mut self, now: Instant) -> bool {
+        self.take_above(0.0, now)
+    }
+
+    fn take_above(&mut self, floor: f64, now: Instant) -> bool {
+        self.fill(now);
+        if self.tokens < floor + 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let most = f64::from(self.rate.0);
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * most).min(most);
+        self.filled = self.filled.max(now);
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,206 @@
+//! The calls that the platform's key-value service takes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::Stream;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::error::Result;
+use crate::gateway;
+use crate::gateway::Decoded;
+use crate::platform::Base;
+use crate::platform::Change;
+use crate::platform::Counts;
+use crate::platform::Entry;
+use crate::platform::Lease;
+use crate::platform::Listing;
+use crate::platform::Options;
+use crate::platform::Swap;
+use crate::transport::Call;
+use crate::transport::Kind;
+use crate::transport::Transport;
+use crate::transport::add;
+use crate::watch;
+
+/// Client for the platform, cheap to clone.
+#[derive(Clone)]
+pub struct Client {
+    transport: Arc<Transport>,
+}
+
+impl Client {
+    /// A client for the service behind these addresses, which are one store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no address or the HTTP client cannot be set up.
+    pub fn new(bases: Vec<Base>, options: Options) -> Result<Self> {
+        let transport = Arc::new(Transport::new(bases, options)?);
+        Ok(Self { transport })
+    }
+
+    /// How many calls were made and how they ended.
+    pub fn counts(&self) -> &Counts {
+        self.transport.counts()
+    }
+
+    pub(crate) fn options(&self) -> &Options {
+        self.transport.options()
+    }
+
+    pub(crate) fn count_stale(&self) {
+        add(&self.transport.counts().stale);
+    }
+
+    pub(crate) fn avoid_stale(&self) {
+        self.transport.avoid_stale();
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address gives an answer, or the allowance is used up.
+    pub async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        let body = gateway::get_request(key);
+        let listing = self.read("get", body, gateway::listing).await?;
+        Ok(listing.entries.into_iter().next())
+    }
+
+    /// Reads all keys of a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address gives an answer, or the allowance is used up.
+    pub async fn list(&self, prefix: &str) -> Result<Listing> {
+        let body = gateway::list_request(prefix);
+        self.read("list", body, gateway::listing).await
+    }
+
+    pub(crate) async fn probe(&self, prefix: &str) -> Result<gateway::Probe> {
+        let body = gateway::probe_request(prefix);
+        self.read("probe", body, gateway::probe).await
+    }
+
+    /// Writes a key if it is still as expected: last written at this revision,
+    /// or absent for `None`. The key goes with the lease if one is given.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Unanswered`] the write may have taken effect, or may do so
+    /// later. After any other error it has not and will not.
+    pub async fn swap(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        value: &[u8],
+        lease: Option<Lease>,
+    ) -> Result<Swap> {
+        let body = gateway::swap_request(key, expected, value, lease);
+        let call = Call {
+            step: "swap",
+            kind: Kind::Write,
+            path: "/v3/kv/txn",
+            body,
+        };
+        self.transport.call(&call, gateway::swap).await
+    }
+
+    /// Deletes a key and says whether it was there.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::swap`].
+    pub async fn delete(&self, key: &str) -> Result<bool> {
+        let call = Call {
+            step: "delete",
+            kind: Kind::Write,
+            path: "/v3/kv/deleterange",
+            body: gateway::get_request(key),
+        };
+        self.transport.call(&call, gateway::deletion).await
+    }
+
+    /// Grants a lease for whole seconds.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Unanswered`] a lease may exist that nobody knows of; it
+    /// holds no key and lapses by itself.
+    pub async fn lease_grant(&self, ttl: Duration) -> Result<Lease> {
+        let call = Call {
+            step: "lease grant",
+            kind: Kind::Lease,
+            path: "/v3/lease/grant",
+            body: json!({ "TTL": ttl.as_secs().to_string() }),
+        };
+        self.transport.call(&call, gateway::grant).await
+    }
+
+    /// Renews a lease and returns the time that remains: nothing when it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer; the lease may then have been renewed.
+    pub async fn lease_keepalive(&self, lease: Lease) -> Result<Duration> {
+        let call = Call {
+            step: "lease keepalive",
+            kind: Kind::Lease,
+            path: "/v3/lease/keepalive",
+            body: json!({ "ID": lease.to_string() }),
+        };
+        let seconds = self.transport.call(&call, gateway::keepalive).await?;
+        Ok(Duration::from_secs(seconds))
+    }
+
+    /// Ends a lease; its keys go at once.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::swap`].
+    pub async fn lease_revoke(&self, lease: Lease) -> Result<()> {
+        let call = Call {
+            step: "lease revoke",
+            kind: Kind::Lease,
+            path: "/v3/lease/revoke",
+            body: json!({ "ID": lease.to_string() }),
+        };
+        self.transport.call(&call, gateway::revocation).await
+    }
+
+    /// Watches a prefix from a revision on, that one included.
+    ///
+    /// The first batch is empty and tells that the watch stands. The stream ends
+    /// with its first error; a watch that is closed is one too. A watch whose
+    /// connection went silent gives no error, which is why [`follow`] probes.
+    pub fn watch(
+        &self,
+        prefix: &str,
+        from_revision: u64,
+    ) -> impl Stream<Item = Result<Vec<Change>>> + Send + 'static {
+        let call = Call {
+            step: "watch",
+            kind: Kind::Watch,
+            path: "/v3/watch",
+            body: gateway::watch_request(prefix, from_revision),
+        };
+        watch::stream(Arc::clone(&self.transport), call)
+    }
+
+    async fn read<T>(
+        &self,
+        step: &'static str,
+        body: Value,
+        decode: fn(&[u8]) -> Decoded<T>,
+    ) -> Result<T> {
+        let call = Call {
+            step,
+            kind: Kind::Read,
+            path: "/v3/kv/range",
+            body,
+        };
+        self.transport.call(&call, decode).await
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -88,4 +88,26 @@
         /// What was seen.
         reason: String,
     },
+
+    /// No connection could be made, so nothing was sent and nothing changed.
+    #[error("{step} at {peer}: no connection: {reason}")]
+    Unreachable {
+        /// What was asked.
+        step: &'static str,
+        /// Who could not be reached.
+        peer: String,
+        /// What was seen.
+        reason: String,
+    },
+
+    /// The local allowance of calls is used up; nothing was sent.
+    #[error("{step} at {peer}: allowance of {rate} used up")]
+    Exhausted {
+        /// What was asked.
+        step: &'static str,
+        /// Who would have been asked.
+        peer: String,
+        /// Calls allowed per second.
+        rate: crate::allowance::Rate,
+    },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,18 @@
 //! The library holds everything that decides; the programs `godwitreeld` and
 //! `godwitreel` only parse, call and report. See `docs/DESIGN.md`.
 
+pub mod allowance;
+mod client;
 pub mod document;
 pub mod error;
+mod follow;
+pub mod gateway;
 pub mod id;
+pub mod pacing;
+pub mod platform;
+mod resolution;
+mod transport;
+mod watch;
 
 pub use crate::error::Error;
 pub use crate::error::Result;
--- /dev/null
+++ b/src/pacing.rs
@@ -0,0 +1,51 @@
+//! Delays between tries: exponential backoff with full jitter.
+//!
+//! Full jitter draws each delay anywhere between nothing and the current bound.
+//! Many instances that lose the platform at the same moment thus come back
+//! spread over time and not in waves.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Bounds of a backoff.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Bound of the first delay.
+    pub first: Duration,
+    /// Bound of every later delay.
+    pub most: Duration,
+}
+
+/// State of one row of tries.
+#[derive(Debug)]
+pub struct Backoff {
+    bounds: Bounds,
+    current: Duration,
+    random: SmallRng,
+}
+
+impl Backoff {
+    /// A fresh backoff whose delays depend on the seed only.
+    pub fn new(bounds: Bounds, seed: u64) -> Self {
+        Self {
+            bounds,
+            current: bounds.first,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The delay before the next try; its bound doubles each time.
+    pub fn next_delay(&mut self) -> Duration {
+        let bound = self.current.min(self.bounds.most);
+        self.current = self.current.saturating_mul(2).min(self.bounds.most);
+        bound.mul_f64(self.random.random_range(0.0..=1.0))
+    }
+
+    /// Starts again from the first bound, after a success.
+    pub fn reset(&mut self) {
+        self.current = self.bounds.first;
+    }
+}
--- /dev/null
+++ b/src/resolution.rs
@@ -0,0 +1,123 @@
+//! Finding out what became of a write whose answer was lost.
+//!
+//! The value of a write carries a random mark, so that reading it back tells
+//! whose write it was. A read that does not show ours proves nothing yet: the
+//! write may still be on its way, or the read be old. The same compare-and-swap
+//! is then sent again. Both copies compare with the same revision, so at most
+//! one of them can take effect, and its answer is final either way.
+//!
+//! One case is given up on: a key that is created by a write whose answer is
+//! lost, and deleted by another before this module looks, is created again.
+
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::client::Client;
+use crate::error::Error;
+use crate::error::Result;
+use crate::pacing::Backoff;
+use crate::platform::Entry;
+use crate::platform::Lease;
+use crate::platform::Swap;
+
+/// What became of a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resolved {
+    /// Ours stands, written at this revision.
+    Done(u64),
+    /// Ours was refused and never took effect; the key holds this, or nothing.
+    Lost(Option<Entry>),
+    /// The answer was lost and another's value, or nothing, stands: ours never
+    /// took effect or was replaced since, and will not come back. Values that
+    /// carry a counter, raised by one with each write, tell which: if the found
+    /// one has the count that ours had, ours never took effect.
+    Overtaken(Option<Entry>),
+    /// Nothing could be read back in time; ours may stand, or still come to.
+    Unknown,
+}
+
+/// One write and what it takes to recognise it.
+struct Write<'a> {
+    key: &'a str,
+    expected: Option<u64>,
+    value: &'a [u8],
+    lease: Option<Lease>,
+}
+
+impl Write<'_> {
+    async fn send(&self, client: &Client) -> Result<Swap> {
+        client
+            .swap(self.key, self.expected, self.value, self.lease)
+            .await
+    }
+
+    fn is_ours(&self, found: Option<&Entry>) -> Option<u64> {
+        found
+            .filter(|entry| entry.value == self.value)
+            .map(|entry| entry.mod_revision)
+    }
+
+    /// Reads back once and, unless ours is there, writes once more.
+    async fn look(&self, client: &Client) -> Result<Resolved> {
+        let found = client.get(self.key).await?;
+        if let Some(revision) = self.is_ours(found.as_ref()) {
+            return Ok(Resolved::Done(revision));
+        }
+        let found = match self.send(client).await? {
+            Swap::Done(revision) => return Ok(Resolved::Done(revision)),
+            Swap::Lost(found) => found,
+        };
+        Ok(match self.is_ours(found.as_ref()) {
+            Some(revision) => Resolved::Done(revision),
+            None => Resolved::Overtaken(found),
+        })
+    }
+}
+
+impl Client {
+    /// Writes as [`Client::swap`] does and, if the answer is lost, finds out what
+    /// became of the write, within [`crate::platform::Options::resolve_within`].
+    ///
+    /// The value must differ from every other value ever written to the key.
+    ///
+    /// # Errors
+    ///
+    /// After an error nothing was written and nothing will be.
+    pub async fn swap_and_resolve(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        value: &[u8],
+        lease: Option<Lease>,
+    ) -> Result<Resolved> {
+        let write = Write {
+            key,
+            expected,
+            value,
+            lease,
+        };
+        match write.send(self).await {
+            Ok(Swap::Done(revision)) => Ok(Resolved::Done(revision)),
+            Ok(Swap::Lost(found)) => Ok(Resolved::Lost(found)),
+            Err(Error::Unanswered { .. }) => Ok(self.resolve(&write).await),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn resolve(&self, write: &Write<'_>) -> Resolved {
+        let options = self.options();
+        let until = Instant::now() + options.resolve_within;
+        let mut backoff = Backoff::new(options.backoff, options.seed);
+        let looking = async {
+            loop {
+                if let Ok(resolved) = write.look(self).await {
+                    return resolved;
+                }
+                time::sleep(backoff.next_delay()).await;
+            }
+        };
+        time::timeout_at(until, looking)
+            .await
+            .unwrap_or(Resolved::Unknown)
+    }
+}
--- /dev/null
+++ b/src/transport.rs
@@ -0,0 +1,314 @@
+//! One exchange with the platform: addresses, timeouts, allowance and counts.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde_json::Value;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::allowance::Bucket;
+use crate::error::Error;
+use crate::error::Result;
+use crate::gateway;
+use crate::gateway::Decoded;
+use crate::platform::Base;
+use crate::platform::Counts;
+use crate::platform::Options;
+
+/// Largest answer that is read, in bytes.
+///
+/// Values hold up to a megabyte; a longer answer than this comes from something
+/// that is no store and would only fill the memory.
+pub(crate) const MAX_ANSWER: usize = 64 << 20;
+
+/// Adds one to a count.
+pub(crate) fn add(count: &AtomicU64) {
+    count.fetch_add(1, Ordering::Relaxed);
+}
+
+/// What a call counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Read,
+    Write,
+    Lease,
+    Watch,
+}
+
+/// One call, whatever the address it goes to.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) step: &'static str,
+    pub(crate) kind: Kind,
+    pub(crate) path: &'static str,
+    pub(crate) body: Value,
+}
+
+impl Call {
+    /// The error of a call that may have taken effect.
+    pub(crate) fn unanswered(&self, peer: &Base, reason: impl ToString) -> Error {
+        Error::Unanswered {
+            step: self.step,
+            peer: peer.to_string(),
+            reason: reason.to_string(),
+        }
+    }
+
+    /// Whether another address may be tried after this error.
+    ///
+    /// A write whose bytes may have left must not be sent again: it would look
+    /// lost to its own first copy, or take effect after the caller gave up.
+    fn may_move_on(&self, error: &Error) -> bool {
+        match error {
+            Error::Unreachable { .. } => true,
+            Error::Unanswered { .. } => self.kind == Kind::Read,
+            _ => false,
+        }
+    }
+}
+
+struct Allowance {
+    reads: Bucket,
+    writes: Bucket,
+}
+
+/// Everything that the clones of a client share.
+pub(crate) struct Transport {
+    http: reqwest::Client,
+    bases: Vec<Base>,
+    /// Index of the address to be tried first.
+    current: AtomicUsize,
+    options: Options,
+    allowance: Mutex<Allowance>,
+    counts: Counts,
+}
+
+impl Transport {
+    pub(crate) fn new(bases: Vec<Base>, options: Options) -> Result<Self> {
+        if bases.is_empty() {
+            return Err(unusable("no address"));
+        }
+        // Nothing below this module may send a write a second time: neither a
+        // proxy from the environment, nor a redirect, nor the library's retries.
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .connect_timeout(options.connect_timeout)
+            .tcp_nodelay(true)
+            .build()
+            .map_err(unusable)?;
+        let now = Instant::now();
+        let allowance = Allowance {
+            reads: Bucket::new(options.reads, now),
+            writes: Bucket::new(options.writes, now),
+        };
+        Ok(Self {
+            http,
+            bases,
+            current: AtomicUsize::new(0),
+            options,
+            allowance: Mutex::new(allowance),
+            counts: Counts::default(),
+        })
+    }
+
+    pub(crate) fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    pub(crate) fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Makes a call, at each address at most once.
+    pub(crate) async fn call<T>(&self, call: &Call, decode: fn(&[u8]) -> Decoded<T>) -> Result<T> {
+        let mut tries_left = self.bases.len();
+        loop {
+            tries_left -= 1;
+            let (index, base) = self.preferred();
+            let outcome = self.exchange(call, base, decode).await;
+            let Err(error) = outcome else { return outcome };
+            self.settle(&error, index);
+            if tries_left == 0 || !call.may_move_on(&error) {
+                return Err(error);
+            }
+        }
+    }
+
+    /// Opens a call whose answer is read bit by bit.
+    pub(crate) async fn open(&self, call: &Call) -> Result<(Base, Response)> {
+        let (index, base) = self.preferred();
+        let outcome = self.start(call, base).await;
+        if let Err(error) = &outcome {
+            self.settle(error, index);
+        }
+        outcome.map(|response| (base.clone(), response))
+    }
+
+    /// Counts a failure and prefers another address when this one is to blame.
+    fn settle(&self, error: &Error, index: usize) {
+        match error {
+            Error::Unreachable { .. } => add(&self.counts.unreachable),
+            Error::Unanswered { .. } => add(&self.counts.unanswered),
+            Error::Exhausted { .. } => return add(&self.counts.exhausted),
+            _ => return add(&self.counts.refused),
+        }
+        self.avoid(index);
+    }
+
+    /// Prefers the next address, unless another call has done so already.
+    fn avoid(&self, index: usize) {
+        let next = (index + 1) % self.bases.len();
+        // Losing this race means that the address was left already.
+        let _ = self
+            .current
+            .compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Counts an answer that is older than what is known and leaves its address.
+    pub(crate) fn avoid_stale(&self) {
+        add(&self.counts.stale);
+        self.avoid(self.preferred().0);
+    }
+
+    fn preferred(&self) -> (usize, &Base) {
+        let index = self.current.load(Ordering::Relaxed) % self.bases.len();
+        (index, &self.bases[index])
+    }
+
+    async fn exchange<T>(
+        &self,
+        call: &Call,
+        base: &Base,
+        decode: fn(&[u8]) -> Decoded<T>,
+    ) -> Result<T> {
+        let whole = async {
+            let response = self.start(call, base).await?;
+            let body = read_body(call, base, response).await?;
+            decode(&body).map_err(|reason| call.unanswered(base, reason))
+        };
+        time::timeout(self.options.call_timeout, whole)
+            .await
+            .unwrap_or_else(|_| Err(call.unanswered(base, "timed out")))
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    async fn start(&self, call: &Call, base: &Base) -> Result<Response> {
+        self.admit(call, base)?;
+        let sending = self
+            .http
+            .post(format!("{base}{}", call.path))
+            .json(&call.body)
+            .send();
+        let response = time::timeout(self.options.call_timeout, sending)
+            .await
+            .map_err(|_| call.unanswered(base, "timed out"))?
+            .map_err(|e| sending_failed(call, base, &e))?;
+        check_status(call, base, response).await
+    }
+
+    fn admit(&self, call: &Call, base: &Base) -> Result<()> {
+        let now = Instant::now();
+        let mut allowance = self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let (admitted, rate) = match call.kind {
+            Kind::Read | Kind::Watch => (allowance.reads.take(now), allowance.reads.rate()),
+            Kind::Write => (allowance.writes.take(now), allowance.writes.rate()),
+            Kind::Lease => (allowance.writes.take_urgent(now), allowance.writes.rate()),
+        };
+        drop(allowance);
+        if !admitted {
+            return Err(Error::Exhausted {
+                step: call.step,
+                peer: base.to_string(),
+                rate,
+            });
+        }
+        add(self.sent(call.kind));
+        Ok(())
+    }
+
+    fn sent(&self, kind: Kind) -> &AtomicU64 {
+        match kind {
+            Kind::Read => &self.counts.reads,
+            Kind::Write => &self.counts.writes,
+            Kind::Lease => &self.counts.leases,
+            Kind::Watch => &self.counts.watches,
+        }
+    }
+}
+
+fn unusable(reason: impl ToString) -> Error {
+    Error::Refused {
+        step: "platform client",
+        peer: "settings".to_owned(),
+        reason: reason.to_string(),
+    }
+}
+
+fn sending_failed(call: &Call, base: &Base, error: &reqwest::Error) -> Error {
+    let reason = root_cause(error);
+    if !error.is_connect() {
+        return call.unanswered(base, reason);
+    }
+    Error::Unreachable {
+        step: call.step,
+        peer: base.to_string(),
+        reason,
+    }
+}
+
+/// The innermost error, which is the one that says something.
+fn root_cause(error: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
+
+/// Sorts an answer by its status.
+///
+/// A server error is no proof that nothing happened: the store answers 503 also
+/// when it has passed a write on and then waited in vain for its outcome.
+async fn check_status(call: &Call, base: &Base, response: Response) -> Result<Response> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    if !status.is_client_error() || status == StatusCode::REQUEST_TIMEOUT {
+        return Err(call.unanswered(base, status));
+    }
+    let body = read_body(call, base, response).await.unwrap_or_default();
+    Err(Error::Refused {
+        step: call.step,
+        peer: base.to_string(),
+        reason: format!("{status}: {}", gateway::refusal(&body)),
+    })
+}
+
+async fn read_body(call: &Call, base: &Base, mut response: Response) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    loop {
+        let chunk = response.chunk().await;
+        let chunk = chunk.map_err(|e| call.unanswered(base, root_cause(&e)))?;
+        let Some(chunk) = chunk else {
+            return Ok(body.freeze());
+        };
+        if body.len() + chunk.len() > MAX_ANSWER {
+            return Err(call.unanswered(base, "answer too long"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+}
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,92 @@
+//! The stream of changes under a prefix.
+
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use futures::Stream;
+use futures::stream;
+use reqwest::Response;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::LinesCodec;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::gateway;
+use crate::gateway::Event;
+use crate::platform::Base;
+use crate::platform::Change;
+use crate::transport::Call;
+use crate::transport::MAX_ANSWER;
+use crate::transport::Transport;
+
+/// An open watch.
+struct Watch {
+    call: Call,
+    base: Base,
+    response: Response,
+    lines: LinesCodec,
+    buffer: BytesMut,
+}
+
+impl Watch {
+    async fn open(transport: &Transport, call: Call) -> Result<Self> {
+        let (base, response) = transport.open(&call).await?;
+        Ok(Self {
+            call,
+            base,
+            response,
+            lines: LinesCodec::new_with_max_length(MAX_ANSWER),
+            buffer: BytesMut::new(),
+        })
+    }
+
+    fn failed(&self, reason: impl ToString) -> Error {
+        self.call.unanswered(&self.base, reason)
+    }
+
+    async fn next(&mut self) -> Result<Vec<Change>> {
+        loop {
+            let line = self.lines.decode(&mut self.buffer);
+            if let Some(line) = line.map_err(|e| self.failed(e))? {
+                return self.read_line(&line);
+            }
+            let chunk = self.response.chunk().await;
+            match chunk.map_err(|e| self.failed(e))? {
+                Some(chunk) => self.buffer.extend_from_slice(&chunk),
+                None => return Err(self.failed("closed")),
+            }
+        }
+    }
+
+    fn read_line(&self, line: &str) -> Result<Vec<Change>> {
+        match gateway::event(line.as_bytes()) {
+            Ok(Event::Changes(changes)) => Ok(changes),
+            Ok(Event::Cancelled(reason)) => Err(self.failed(reason)),
+            Err(reason) => Err(self.failed(reason)),
+        }
+    }
+}
+
+/// State of the stream between two items.
+enum State {
+    Closed(Call),
+    Open(Box<Watch>),
+}
+
+/// The batches of a watch, up to its first error.
+pub(crate) fn stream(
+    transport: Arc<Transport>,
+    call: Call,
+) -> impl Stream<Item = Result<Vec<Change>>> + Send + 'static {
+    stream::try_unfold(State::Closed(call), move |state| {
+        let transport = Arc::clone(&transport);
+        async move {
+            let mut watch = match state {
+                State::Closed(call) => Box::new(Watch::open(&transport, call).await?),
+                State::Open(watch) => watch,
+            };
+            let batch = watch.next().await?;
+            Ok(Some((batch, State::Open(watch))))
+        }
+    })
+}
