--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,19 @@
 //! `godwitreel` only parse, call and report. See `docs/DESIGN.md`.
 
 pub mod allowance;
+mod checks;
 mod client;
 pub mod document;
 pub mod error;
 mod follow;
 pub mod gateway;
 pub mod id;
+mod jsonc;
+pub mod log;
 pub mod pacing;
 pub mod platform;
 mod resolution;
+pub mod settings;
 mod transport;
 mod watch;
 
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,79 @@
+//! The logger, as the settings want it.
+//!
+//! Records go to the standard error stream from a thread of their own, so that
+//! a slow reader of the log holds up no packet.
+
+use std::io;
+
+use slog::Drain;
+use slog::Logger;
+use slog::Record;
+use slog::o;
+
+use crate::settings::Format;
+use crate::settings::Level;
+use crate::settings::Log;
+
+/// Records that may wait for being written; more are dropped and counted.
+const QUEUE: usize = 4_096;
+
+/// Builds the logger; its records are complete when its last clone is dropped.
+pub fn logger(settings: &Log) -> Logger {
+    match settings.format {
+        Format::Json => {
+            let json = slog_json::Json::new(io::stderr())
+                .add_default_keys()
+                .build();
+            queued(json.ignore_res(), settings)
+        }
+        Format::Text => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let text = slog_term::CompactFormat::new(decorator).build();
+            queued(text.ignore_res(), settings)
+        }
+    }
+}
+
+fn queued<D>(drain: D, settings: &Log) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain).chan_size(QUEUE).build();
+    Logger::root(filtered(queue, settings.clone()).fuse(), o!())
+}
+
+/// Passes on what the settings of a record's module allow.
+pub fn filtered<D: Drain>(drain: D, settings: Log) -> impl Drain<Ok = Option<D::Ok>, Err = D::Err> {
+    slog::Filter::new(drain, move |record: &Record<'_>| {
+        let level = level_of(&settings, record.module());
+        record.level().is_at_least(level)
+    })
+}
+
+/// The level of the module, or of the longest path that holds it.
+fn level_of(settings: &Log, module: &str) -> slog::Level {
+    let holds = |path: &str| {
+        module
+            .strip_prefix(path)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with("::"))
+    };
+    let longest = settings
+        .modules
+        .iter()
+        .filter(|(path, _)| holds(path))
+        .max_by_key(|(path, _)| path.len());
+    longest.map_or(settings.level, |(_, level)| *level).into()
+}
+
+impl From<Level> for slog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Critical => Self::Critical,
+            Level::Error => Self::Error,
+            Level::Warning => Self::Warning,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+            Level::Trace => Self::Trace,
+        }
+    }
+}
