--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! x
+//! Small stand-ins for the systems around godwitreel.
+//!
+//! Integration tests and the demo run them in their own process through this
+//! library; the program `standin` runs each of them alone. They know only the
+//! published protocols (CoAP over UDP, the etcd v3 JSON gateway, HTTP) and
+//! nothing of godwitreel itself, so that an error in the balancer cannot hide
+//! behind the same error here.
+
+pub mod caller;
+mod etcd;
+pub mod fabric;
+pub mod fault;
+mod gate;
+mod lock;
+mod message;
+pub mod platform;
+mod relay;
+pub mod server;
+mod store;
