--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,9 @@
 pub mod budget;
 mod checks;
 mod client;
+pub mod codec;
+pub mod config;
+pub mod control;
 pub mod document;
 pub mod engine;
 pub mod error;
@@ -34,6 +37,7 @@
 pub mod table;
 mod transport;
 mod watch;
+pub mod wire;
 
 pub use crate::error::Error;
 pub use crate::error::Result;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -193,9 +193,6 @@
     /// Digest of the configuration revisions that the sender has in force.
     #[prost(fixed64, tag = "4")]
     pub digest: u64,
-    /// Digest of the slice table as the sender has it.
-    #[prost(fixed64, tag = "5")]
-    pub table: u64,
     /// Loads that changed.
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<Load>,
--- a/src/server.rs
+++ b/src/server.rs
@@ -45,8 +45,10 @@
     pub feeds_elsewhere: u32,
     /// What the platform's list says.
     pub listed: Listed,
-    /// Whether an operator or the server itself says that it is leaving.
-    pub leaving: bool,
+    /// Whether an operator says that it is leaving.
+    pub drained: bool,
+    /// Whether its own health answer says that it is leaving.
+    pub draining: bool,
     /// Until when the address is known to run the listed service.
     pub confirmed_until: Option<Instant>,
     /// When it was first confirmed; the start of its slow start.
@@ -75,7 +77,8 @@
                 feeds: 0,
                 feeds_elsewhere: 0,
                 listed: listed.state,
-                leaving: false,
+                drained: false,
+                draining: false,
                 confirmed_until: None,
                 up_since: None,
                 failures: 0,
@@ -123,7 +126,7 @@
 
     /// Whether it is leaving, by any signal.
     pub fn is_leaving(&self) -> bool {
-        self.leaving || self.listed == Listed::Leaving
+        self.drained || self.draining || self.listed == Listed::Leaving
     }
 
     /// Whether it rests after failures or asked for a pause.
--- a/src/table.rs
+++ b/src/table.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// A part of the table as it is stored in the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Random mark of this write, to find out by reading back whether it took effect.
+    pub write_id: String,
+    /// Rows, from the slice that is the document's number times [`ROWS_PER_DOCUMENT`].
+    pub rows: Vec<Row>,
+}
+
 /// All rows, as last seen.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
@@ -101,12 +111,17 @@
             .map(|(slice, row)| (id::Slice(slice as u32), row))
     }
 
-    /// The slice of a flow, by a hash that the fleet's key makes unpredictable.
+    /// The slice of a flow; see [`slice`].
     pub fn slice(&self, key: u64, flow: &Flow) -> id::Slice {
-        let mut hasher = SipHasher13::new_with_keys(key, !key);
-        flow.service.as_str().hash(&mut hasher);
-        flow.caller.0.hash(&mut hasher);
-        let count = u64::from(self.len().max(1));
-        id::Slice((hasher.finish() % count) as u32)
+        slice(self.len(), key, flow)
     }
 }
+
+/// The slice of a flow among `count`, by a hash that the fleet's key makes
+/// unpredictable.
+pub fn slice(count: u32, key: u64, flow: &Flow) -> id::Slice {
+    let mut hasher = SipHasher13::new_with_keys(key, !key);
+    flow.service.as_str().hash(&mut hasher);
+    flow.caller.0.hash(&mut hasher);
+    id::Slice((hasher.finish() % u64::from(count.max(1))) as u32)
+}
