--- a/standin/src/etcd.rs
+++ b/standin/src/etcd.rs
@@ -60,6 +60,29 @@
     pub(crate) _revision: i64,
     #[serde(rename = "serializable")]
     pub(crate) _serializable: bool,
+    pub(crate) sort_target: SortTarget,
+    pub(crate) sort_order: SortOrder,
+    /// Leaves out the values.
+    pub(crate) keys_only: bool,
+}
+
+/// Field that a range is sorted by; others of etcd's are refused.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(crate) enum SortTarget {
+    #[default]
+    Key,
+    Mod,
+}
+
+/// Direction that a range is sorted in; without one it stands by key.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(crate) enum SortOrder {
+    #[default]
+    None,
+    Ascend,
+    Descend,
 }
 
 #[derive(Default, Deserialize)]
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -25,6 +25,8 @@
 use crate::etcd::Range;
 use crate::etcd::RangeResponse;
 use crate::etcd::Relation;
+use crate::etcd::SortOrder;
+use crate::etcd::SortTarget;
 use crate::etcd::Target;
 use crate::etcd::Txn;
 use crate::etcd::TxnResponse;
@@ -371,7 +373,8 @@
 }
 
 fn read(keys: &Keys, range: &Range, header: Header) -> RangeResponse {
-    let found: Vec<_> = span(keys, &range.key, &range.range_end).collect();
+    let mut found: Vec<_> = span(keys, &range.key, &range.range_end).collect();
+    sort(&mut found, range);
     let limit = match usize::try_from(range.limit) {
         Ok(limit @ 1..) => limit,
         _ => found.len(),
@@ -380,10 +383,32 @@
         header,
         more: found.len() > limit,
         count: i64::try_from(found.len()).unwrap_or(i64::MAX),
-        kvs: found.into_iter().take(limit).cloned().collect(),
+        kvs: found
+            .into_iter()
+            .take(limit)
+            .map(|kv| show(kv, range))
+            .collect(),
     }
 }
 
+/// Puts keys, which stand in their own order, into that of the request.
+fn sort(found: &mut [&Kv], range: &Range) {
+    if range.sort_target == SortTarget::Mod {
+        found.sort_by_key(|kv| kv.mod_revision);
+    }
+    if range.sort_order == SortOrder::Descend {
+        found.reverse();
+    }
+}
+
+fn show(kv: &Kv, range: &Range) -> Kv {
+    let mut kv = kv.clone();
+    if range.keys_only {
+        kv.value.clear();
+    }
+    kv
+}
+
 fn span<'a>(keys: &'a Keys, key: &'a [u8], end: &'a [u8]) -> impl Iterator<Item = &'a Kv> {
     keys.range::<[u8], _>((Bound::Included(key), Bound::Unbounded))
         .map(|(_, kv)| kv)
