--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -178,13 +178,17 @@
     if message.starts_with("missing field") {
         return "a value".to_owned();
     }
-    match message.rsplit_once("expected ") {
-        Some((_, expected)) => expected.to_owned(),
-        None => message
-            .rsplit_once("want ")
-            .map_or(message, |(_, w)| w)
-            .to_owned(),
+    // The standard library says what an address is not, but not what it is.
+    if message.contains("socket address syntax") {
+        return "an address as in 127.0.0.1:7100".to_owned();
     }
+    if message.contains("IP address syntax") {
+        return "an IP address as in 127.0.0.1".to_owned();
+    }
+    let wanted = message
+        .rsplit_once("expected ")
+        .or_else(|| message.rsplit_once("want "));
+    wanted.map_or(message, |(_, wanted)| wanted).to_owned()
 }
 
 fn join(path: &str, name: &str) -> String {
