--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,515 @@
+//! The platform's client against a stand-in, through its faults.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::routing::post;
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream;
+use godwitreel::Error;
+use godwitreel::allowance::Bucket;
+use godwitreel::allowance::Rate;
+use godwitreel::gateway;
+use godwitreel::pacing::Backoff;
+use godwitreel::pacing::Bounds;
+use godwitreel::platform;
+use godwitreel::platform::Change;
+use godwitreel::platform::Client;
+use godwitreel::platform::Entry;
+use godwitreel::platform::Options;
+use godwitreel::platform::Resolved;
+use godwitreel::platform::Swap;
+use godwitreel::platform::Update;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use standin::platform::Handle;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio::time::Instant;
+
+/// Longest that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn options() -> Options {
+    Options {
+        call_timeout: Duration::from_secs(2),
+        connect_timeout: Duration::from_secs(1),
+        resolve_within: PATIENCE,
+        backoff: Bounds {
+            first: Duration::from_millis(20),
+            most: Duration::from_millis(100),
+        },
+        probe_every: Duration::from_millis(50),
+        reads: Rate(10_000),
+        writes: Rate(10_000),
+        seed: 1,
+    }
+}
+
+async fn start() -> Handle {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    standin::platform::start(any_port).await.expect("a port")
+}
+
+fn client_with(addresses: &[SocketAddr], options: Options) -> Client {
+    let base = |address: &SocketAddr| format!("http://{address}").parse().expect("a base");
+    Client::new(addresses.iter().map(base).collect(), options).expect("a client")
+}
+
+fn client(platform: &Handle) -> Client {
+    client_with(&[platform.address()], options())
+}
+
+fn follow(client: &Client) -> mpsc::Receiver<Update> {
+    let (sender, receiver) = mpsc::channel(64);
+    tokio::spawn(platform::follow(client.clone(), "p/".to_owned(), sender));
+    receiver
+}
+
+/// The next update that is more than a sign of life.
+async fn next(updates: &mut mpsc::Receiver<Update>) -> Update {
+    loop {
+        match time::timeout(PATIENCE, updates.recv()).await {
+            Ok(Some(Update::Contact { .. })) => {}
+            Ok(Some(update)) => return update,
+            other => panic!("no update: {other:?}"),
+        }
+    }
+}
+
+async fn next_reset(updates: &mut mpsc::Receiver<Update>) -> Vec<(String, String)> {
+    match next(updates).await {
+        Update::Reset { entries, .. } => entries.iter().map(pair).collect(),
+        other => panic!("no reset: {other:?}"),
+    }
+}
+
+fn pair(entry: &Entry) -> (String, String) {
+    let value = String::from_utf8_lossy(&entry.value).into_owned();
+    (entry.key.clone(), value)
+}
+
+fn owned(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    let pair = |(key, value): &(&str, &str)| ((*key).to_owned(), (*value).to_owned());
+    pairs.iter().map(pair).collect()
+}
+
+#[tokio::test]
+async fn keys_are_read_listed_and_deleted() {
+    let platform = start().await;
+    platform.put("p/b", "2");
+    platform.put("p/a", "1");
+    platform.put("q", "3");
+    let client = client(&platform);
+    let listing = client.list("p/").await.expect("a list");
+    let pairs: Vec<_> = listing.entries.iter().map(pair).collect();
+    assert_eq!(pairs, owned(&[("p/a", "1"), ("p/b", "2")]));
+    assert_eq!(
+        client.get("p/b").await.expect("a read"),
+        Some(listing.entries[1].clone())
+    );
+    assert!(client.delete("p/b").await.expect("a deletion"));
+    assert!(!client.delete("p/b").await.expect("a deletion"));
+    assert_eq!(client.get("p/b").await.expect("a read"), None);
+}
+
+// Eight instances try to take the same slice at the same moment. All compare
+// with the same revision, the store applies one write and refuses seven, and
+// each loser is shown the winner's value.
+#[tokio::test]
+async fn swap_race_has_one_winner() {
+    let platform = start().await;
+    let client = client(&platform);
+    let names: Vec<String> = (0..8).map(|n| format!("holder {n}")).collect();
+    let tries = names
+        .iter()
+        .map(|name| client.swap("p/slice", None, name.as_bytes(), None));
+    let outcomes: Vec<Swap> = join_all(tries)
+        .await
+        .into_iter()
+        .map(|o| o.expect("an answer"))
+        .collect();
+    let done = |outcome: &Swap| matches!(outcome, Swap::Done(_));
+    let winner = outcomes.iter().position(done).expect("a winner");
+    let stands = client
+        .get("p/slice")
+        .await
+        .expect("a read")
+        .expect("a value");
+    assert_eq!(stands.value, names[winner].as_bytes());
+    for (index, outcome) in outcomes.iter().enumerate() {
+        let want = match index == winner {
+            true => Swap::Done(stands.mod_revision),
+            false => Swap::Lost(Some(stands.clone())),
+        };
+        assert_eq!(*outcome, want);
+    }
+}
+
+// The store applies a write and its answer is lost. The caller is told that
+// nobody knows, and the write is not sent again: its second copy would be
+// refused because of the first and look lost although it stands.
+#[tokio::test]
+async fn write_is_never_sent_twice_blindly() {
+    let platform = start().await;
+    let second = start().await;
+    let client = client_with(&[platform.address(), second.address()], options());
+    platform.lose_answers(1);
+    let outcome = client.swap("p/a", None, b"mine", None).await;
+    assert!(
+        matches!(outcome, Err(Error::Unanswered { .. })),
+        "{outcome:?}"
+    );
+    assert_eq!(
+        (platform.counters().writes, second.counters().writes),
+        (1, 0)
+    );
+    assert_eq!(client.counts().unanswered.load(Ordering::Relaxed), 1);
+}
+
+// The store applies a write and its answer is lost. Reading back shows the
+// writer's own mark, so that the caller is told that it is done.
+#[tokio::test]
+async fn lost_answer_of_an_applied_write_is_done() {
+    let platform = start().await;
+    let client = client(&platform);
+    platform.lose_answers(1);
+    let outcome = client.swap_and_resolve("p/a", None, b"mine", None).await;
+    let stands = client.get("p/a").await.expect("a read").expect("a value");
+    assert_eq!(
+        outcome.expect("an outcome"),
+        Resolved::Done(stands.mod_revision)
+    );
+    assert_eq!(platform.counters().writes, 1);
+}
+
+// The connection closes before the store sees the write. Nothing is found when
+// the store is back, the same compare-and-swap is sent again, and the caller is
+// told that it is done, once.
+#[tokio::test]
+async fn write_that_never_arrived_is_done_by_its_second_copy() {
+    let platform = start().await;
+    let client = client(&platform);
+    platform.down(true);
+    let resolving = resolve_until_unanswered(&client, 2).await;
+    assert_eq!(platform.get("p/a"), None);
+    platform.down(false);
+    let outcome = time::timeout(PATIENCE, resolving).await.expect("in time");
+    assert!(matches!(outcome.expect("a task"), Resolved::Done(_)));
+    assert_eq!(platform.get("p/a"), Some(b"mine".to_vec()));
+}
+
+// The connection closes and, before the store is back, another writer changes
+// the key. The caller is told that another's value stands, and which.
+#[tokio::test]
+async fn write_overtaken_by_another_is_not_done() {
+    let platform = start().await;
+    let client = client(&platform);
+    platform.down(true);
+    let resolving = resolve_until_unanswered(&client, 2).await;
+    platform.put("p/a", "theirs");
+    platform.down(false);
+    let outcome = time::timeout(PATIENCE, resolving).await.expect("in time");
+    let Resolved::Overtaken(Some(entry)) = outcome.expect("a task") else {
+        panic!("not overtaken");
+    };
+    assert_eq!(pair(&entry), ("p/a".to_owned(), "theirs".to_owned()));
+    assert_eq!(platform.get("p/a"), Some(b"theirs".to_vec()));
+}
+
+/// Starts a write and waits until so many calls were left without an answer.
+async fn resolve_until_unanswered(
+    client: &Client,
+    count: u64,
+) -> tokio::task::JoinHandle<Resolved> {
+    let writer = client.clone();
+    let resolving = tokio::spawn(async move {
+        let outcome = writer.swap_and_resolve("p/a", None, b"mine", None).await;
+        outcome.expect("an outcome")
+    });
+    let reached = async {
+        while client.counts().unanswered.load(Ordering::Relaxed) < count {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(PATIENCE, reached).await.expect("the calls");
+    resolving
+}
+
+// The answer is lost and the store stays away for longer than the caller wants
+// to wait. Nothing can be read back, so the caller is told just that.
+#[tokio::test]
+async fn write_that_cannot_be_read_back_is_unknown() {
+    let platform = start().await;
+    let within = Options {
+        resolve_within: Duration::from_millis(200),
+        ..options()
+    };
+    let client = client_with(&[platform.address()], within);
+    platform.down(true);
+    let outcome = client.swap_and_resolve("p/a", None, b"mine", None).await;
+    assert_eq!(outcome.expect("an outcome"), Resolved::Unknown);
+}
+
+// One of the platform's addresses refuses connections. Nothing was sent there,
+// so that even a write may go to the next address, where it is done.
+#[tokio::test]
+async fn calls_move_on_from_an_address_that_is_gone() {
+    let gone = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let gone_address = gone.local_addr().expect("an address");
+    drop(gone);
+    let platform = start().await;
+    let client = client_with(&[gone_address, platform.address()], options());
+    let outcome = client.swap("p/a", None, b"mine", None).await;
+    assert!(matches!(outcome, Ok(Swap::Done(_))), "{outcome:?}");
+    assert!(client.get("p/a").await.expect("a read").is_some());
+    assert_eq!(client.counts().unreachable.load(Ordering::Relaxed), 1);
+    let alone = client_with(&[gone_address], options());
+    let outcome = alone.swap("p/a", None, b"mine", None).await;
+    assert!(
+        matches!(outcome, Err(Error::Unreachable { .. })),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test]
+async fn lease_holds_its_key_until_it_is_revoked() {
+    let platform = start().await;
+    let client = client(&platform);
+    let ttl = Duration::from_secs(60);
+    let lease = client.lease_grant(ttl).await.expect("a lease");
+    let outcome = client.swap("p/a", None, b"here", Some(lease)).await;
+    assert!(matches!(outcome, Ok(Swap::Done(_))), "{outcome:?}");
+    assert_eq!(client.lease_keepalive(lease).await.expect("an answer"), ttl);
+    client.lease_revoke(lease).await.expect("an answer");
+    assert_eq!(platform.get("p/a"), None);
+    assert_eq!(
+        client.lease_keepalive(lease).await.expect("an answer"),
+        Duration::ZERO
+    );
+    let outcome = client.swap("p/a", None, b"here", Some(lease)).await;
+    assert!(matches!(outcome, Err(Error::Refused { .. })), "{outcome:?}");
+}
+
+// More calls are asked for than this instance may make. Those above the
+// allowance are refused here with their own error and never reach the platform.
+#[tokio::test]
+async fn allowance_refuses_before_anything_is_sent() {
+    let platform = start().await;
+    let few = Options {
+        reads: Rate(1),
+        writes: Rate(1),
+        ..options()
+    };
+    let client = client_with(&[platform.address()], few);
+    let reads = join_all((0..50).map(|_| client.get("p/a"))).await;
+    let refused = reads
+        .iter()
+        .filter(|read| matches!(read, Err(Error::Exhausted { rate: Rate(1), .. })))
+        .count();
+    let sent = platform.counters().reads;
+    assert_eq!(refused + usize::try_from(sent).expect("a count"), 50);
+    assert!(refused > 0, "nothing was refused");
+    assert_eq!(client.counts().reads.load(Ordering::Relaxed), sent);
+    assert_eq!(client.counts().exhausted.load(Ordering::Relaxed), 50 - sent);
+}
+
+#[tokio::test(start_paused = true)]
+async fn bucket_refills_and_keeps_a_reserve() {
+    let mut bucket = Bucket::new(Rate(20), Instant::now());
+    let taken = (0..30).filter(|_| bucket.take(Instant::now())).count();
+    assert_eq!(taken, 18);
+    assert!(bucket.take_urgent(Instant::now()) && bucket.take_urgent(Instant::now()));
+    assert!(!bucket.take_urgent(Instant::now()));
+    time::advance(Duration::from_millis(500)).await;
+    let taken = (0..30).filter(|_| bucket.take(Instant::now())).count();
+    assert_eq!(taken, 8);
+    time::advance(Duration::from_secs(3600)).await;
+    let taken = (0..30)
+        .filter(|_| bucket.take_urgent(Instant::now()))
+        .count();
+    assert_eq!(taken, 20);
+}
+
+#[tokio::test]
+async fn follower_hands_on_changes_in_order() {
+    let platform = start().await;
+    platform.put("p/a", "1");
+    platform.put("q", "other");
+    let mut updates = follow(&client(&platform));
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "1")]));
+    platform.put("p/a", "2");
+    platform.put("q", "other still");
+    platform.delete("p/a");
+    let Update::Change(Change::Put(entry)) = next(&mut updates).await else {
+        panic!("no put");
+    };
+    assert_eq!(pair(&entry), ("p/a".to_owned(), "2".to_owned()));
+    let Update::Change(Change::Delete { key, .. }) = next(&mut updates).await else {
+        panic!("no deletion");
+    };
+    assert_eq!(key, "p/a");
+}
+
+// The platform goes away for a while, and a change is made before it answers
+// again. The consumer learns since when it is silent, once, and gets the whole
+// prefix, with the change, when it is back.
+#[tokio::test]
+async fn follower_tells_silence_and_then_everything() {
+    let platform = start().await;
+    platform.put("p/a", "1");
+    platform.put("p/b", "1");
+    let started = Instant::now();
+    let mut updates = follow(&client(&platform));
+    next_reset(&mut updates).await;
+    let down = Instant::now();
+    platform.down(true);
+    let Update::Silent { since } = next(&mut updates).await else {
+        panic!("no silence");
+    };
+    assert!(since >= started && since <= down, "{since:?}");
+    platform.put("p/a", "2");
+    platform.delete("p/b");
+    platform.down(false);
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "2")]));
+}
+
+// One of the platform's two addresses lags behind the other. The good one goes
+// away, the follower asks the lagging one, and its old value is not handed on:
+// the consumer sees silence, then the newest value when the good one is back.
+#[tokio::test]
+async fn follower_is_not_taken_back_by_a_lagging_address() {
+    let good = start().await;
+    let lagging = start().await;
+    for platform in [&good, &lagging] {
+        platform.put("p/a", "old");
+    }
+    good.put("p/a", "new");
+    let client = client_with(&[good.address(), lagging.address()], options());
+    let mut updates = follow(&client);
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "new")]));
+    good.down(true);
+    assert!(matches!(next(&mut updates).await, Update::Silent { .. }));
+    let stale = async {
+        while client.counts().stale.load(Ordering::Relaxed) < 3 {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(PATIENCE, stale).await.expect("stale answers");
+    good.put("p/b", "newer");
+    good.down(false);
+    let want = owned(&[("p/a", "new"), ("p/b", "newer")]);
+    assert_eq!(next_reset(&mut updates).await, want);
+}
+
+/// Answer to a list of one key, in the gateway's form: `p/a` is `1` or `2`.
+fn list_answer(store_revision: u64, mod_revision: u64, value: &str) -> String {
+    format!(
+        r#"{{"header":{{"revision":"{store_revision}"}},"count":"1","kvs":[
+            {{"key":"cC9h","value":"{value}","mod_revision":"{mod_revision}"}}]}}"#
+    )
+}
+
+const ONE: &str = "MQ==";
+const TWO: &str = "Mg==";
+
+/// A platform whose reads answer what is set and whose watches tell nothing.
+async fn deaf_platform(answer: Arc<Mutex<String>>) -> SocketAddr {
+    let range = post(move || async move { answer.lock().expect("no panic").clone() });
+    let watch = post(|| async {
+        let created = "{\"result\":{\"header\":{\"revision\":\"5\"},\"created\":true}}\n";
+        let first = stream::iter([Ok::<_, std::io::Error>(created)]);
+        Body::from_stream(first.chain(stream::pending()))
+    });
+    let routes = Router::new()
+        .route("/v3/kv/range", range)
+        .route("/v3/watch", watch);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    address
+}
+
+// Something between the two ends has forgotten the watch's connection, while
+// new calls work. A change is made, the watch tells nothing and gives no error.
+// The probes show that something is missing, and listing again brings it.
+#[tokio::test]
+async fn follower_notices_a_watch_that_has_gone_deaf() {
+    let answer = Arc::new(Mutex::new(list_answer(5, 5, ONE)));
+    let address = deaf_platform(Arc::clone(&answer)).await;
+    let mut updates = follow(&client_with(&[address], options()));
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "1")]));
+    *answer.lock().expect("no panic") = list_answer(6, 6, TWO);
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "2")]));
+}
+
+// The platform claims a newer revision and yet shows an older value of a key.
+// The consumer keeps the value that it has been handed before.
+#[tokio::test]
+async fn follower_keeps_a_key_that_a_later_list_shows_older() {
+    let answer = Arc::new(Mutex::new(list_answer(6, 6, TWO)));
+    let address = deaf_platform(Arc::clone(&answer)).await;
+    let mut updates = follow(&client_with(&[address], options()));
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "2")]));
+    *answer.lock().expect("no panic") = list_answer(7, 5, ONE);
+    assert_eq!(next_reset(&mut updates).await, owned(&[("p/a", "2")]));
+}
+
+#[tokio::test]
+async fn follower_ends_with_its_receiver() {
+    let platform = start().await;
+    let (sender, receiver) = mpsc::channel(1);
+    let following = tokio::spawn(platform::follow(client(&platform), "p/".to_owned(), sender));
+    drop(receiver);
+    let ended = time::timeout(PATIENCE, following).await;
+    ended.expect("in time").expect("no panic");
+}
+
+proptest! {
+    #[test]
+    fn any_answer_is_read_or_refused(bytes in any::<Vec<u8>>()) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn any_field_of_an_answer_is_read_or_refused(
+        field in "(header|kvs|count|succeeded|responses|result|error|ID|TTL|events)",
+        inner in "(revision|key|value|mod_revision|response_range|events|type|kv|canceled)",
+        value in "(\"-?[0-9]{0,22}\"|-?[0-9]{1,22}|\"[A-Za-z=]{0,6}\"|\\[\\]|\\{\\}|null|true)",
+    ) {
+        decode_all(format!(r#"{{"{field}":{value}}}"#).as_bytes());
+        decode_all(format!(r#"{{"{field}":{{"{inner}":{value}}}}}"#).as_bytes());
+        decode_all(format!(r#"{{"{field}":[{{"{inner}":{value}}}]}}"#).as_bytes());
+    }
+
+    #[test]
+    fn delays_stay_inside_their_bounds(seed in any::<u64>(), tries in 1_usize..200) {
+        let bounds = Bounds { first: Duration::from_millis(100), most: Duration::from_secs(5) };
+        let delays = |seed| {
+            let mut backoff = Backoff::new(bounds, seed);
+            (0..tries).map(|_| backoff.next_delay()).collect::<Vec<_>>()
+        };
+        let drawn = delays(seed);
+        assert!(drawn[0] <= bounds.first);
+        assert!(drawn.iter().all(|delay| *delay <= bounds.most));
+        assert_eq!(drawn, delays(seed));
+    }
+}
+
+fn decode_all(bytes: &[u8]) {
+    let _ = gateway::listing(bytes);
+    let _ = gateway::probe(bytes);
+    let _ = gateway::swap(bytes);
+    let _ = gateway::deletion(bytes);
+    let _ = gateway::grant(bytes);
+    let _ = gateway::keepalive(bytes);
+    let _ = gateway::revocation(bytes);
+    let _ = gateway::event(bytes);
+}
