--- a/src/client.rs
+++ b/src/client.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use futures::Stream;
-use serde_json::Value;
-use serde_json::json;
 
 use crate::error::Result;
 use crate::gateway;
@@ -18,6 +16,7 @@
 use crate::platform::Listing;
 use crate::platform::Options;
 use crate::platform::Swap;
+use crate::request;
 use crate::transport::Call;
 use crate::transport::Kind;
 use crate::transport::Transport;
@@ -64,7 +63,7 @@
     ///
     /// Fails when no address gives an answer, or the allowance is used up.
     pub async fn get(&self, key: &str) -> Result<Option<Entry>> {
-        let body = gateway::get_request(key);
+        let body = request::key(key);
         let listing = self.read("get", body, gateway::listing).await?;
         Ok(listing.entries.into_iter().next())
     }
@@ -75,12 +74,12 @@
     ///
     /// Fails when no address gives an answer, or the allowance is used up.
     pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        let body = gateway::list_request(prefix);
+        let body = request::list(prefix);
         self.read("list", body, gateway::listing).await
     }
 
     pub(crate) async fn probe(&self, prefix: &str) -> Result<gateway::Probe> {
-        let body = gateway::probe_request(prefix);
+        let body = request::probe(prefix);
         self.read("probe", body, gateway::probe).await
     }
 
@@ -98,7 +97,7 @@
         value: &[u8],
         lease: Option<Lease>,
     ) -> Result<Swap> {
-        let body = gateway::swap_request(key, expected, value, lease);
+        let body = request::swap(key, expected, value, lease);
         let call = Call {
             step: "swap",
             kind: Kind::Write,
@@ -118,7 +117,7 @@
             step: "delete",
             kind: Kind::Write,
             path: "/v3/kv/deleterange",
-            body: gateway::get_request(key),
+            body: request::key(key),
         };
         self.transport.call(&call, gateway::deletion).await
     }
@@ -134,7 +133,7 @@
             step: "lease grant",
             kind: Kind::Lease,
             path: "/v3/lease/grant",
-            body: json!({ "TTL": ttl.as_secs().to_string() }),
+            body: request::grant(ttl.as_secs()),
         };
         self.transport.call(&call, gateway::grant).await
     }
@@ -149,7 +148,7 @@
             step: "lease keepalive",
             kind: Kind::Lease,
             path: "/v3/lease/keepalive",
-            body: json!({ "ID": lease.to_string() }),
+            body: request::lease(lease),
         };
         let seconds = self.transport.call(&call, gateway::keepalive).await?;
         Ok(Duration::from_secs(seconds))
@@ -165,7 +164,7 @@
             step: "lease revoke",
             kind: Kind::Lease,
             path: "/v3/lease/revoke",
-            body: json!({ "ID": lease.to_string() }),
+            body: request::lease(lease),
         };
         self.transport.call(&call, gateway::revocation).await
     }
@@ -184,7 +183,7 @@
             step: "watch",
             kind: Kind::Watch,
             path: "/v3/watch",
-            body: gateway::watch_request(prefix, from_revision),
+            body: request::watch(prefix, from_revision),
         };
         watch::stream(Arc::clone(&self.transport), call)
     }
@@ -192,7 +191,7 @@
     async fn read<T>(
         &self,
         step: &'static str,
-        body: Value,
+        body: request::Body,
         decode: fn(&[u8]) -> Decoded<T>,
     ) -> Result<T> {
         let call = Call {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,4 +1,4 @@
-//! Messages of the etcd v3 JSON gateway.
+//! Answers of the etcd v3 JSON gateway.
 //!
 //! Keys and values travel in base64, 64-bit numbers as strings, and fields that
 //! have their default value are left out. Decoding trusts nothing: whatever the
@@ -10,7 +10,6 @@
 use serde::Deserialize;
 use serde::Deserializer;
 use serde_json::Value;
-use serde_json::json;
 
 use crate::platform::Change;
 use crate::platform::Entry;
@@ -41,75 +40,6 @@
     Cancelled(String),
 }
 
-fn encode(data: impl AsRef<[u8]>) -> String {
-    STANDARD.encode(data)
-}
-
-/// First key after all keys that have the prefix; `\0` stands for "no end".
-fn range_end(prefix: &str) -> Vec<u8> {
-    let mut end = prefix.as_bytes().to_vec();
-    while let Some(last) = end.pop() {
-        if last < u8::MAX {
-            end.push(last + 1);
-            return end;
-        }
-    }
-    vec![0]
-}
-
-pub(crate) fn get_request(key: &str) -> Value {
-    json!({ "key": encode(key) })
-}
-
-pub(crate) fn list_request(prefix: &str) -> Value {
-    json!({ "key": encode(prefix), "range_end": encode(range_end(prefix)) })
-}
-
-pub(crate) fn probe_request(prefix: &str) -> Value {
-    json!({
-        "key": encode(prefix),
-        "range_end": encode(range_end(prefix)),
-        "limit": "1",
-        "sort_target": "MOD",
-        "sort_order": "DESCEND",
-        "keys_only": true,
-    })
-}
-
-pub(crate) fn swap_request(
-    key: &str,
-    expected: Option<u64>,
-    value: &[u8],
-    lease: Option<Lease>,
-) -> Value {
-    // A key that does not exist compares as revision 0.
-    let revision = expected.unwrap_or(0).to_string();
-    let mut put = json!({ "key": encode(key), "value": encode(value) });
-    if let Some(lease) = lease {
-        put["lease"] = lease.to_string().into();
-    }
-    json!({
-        "compare": [{
-            "key": encode(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": revision,
-        }],
-        "success": [{ "request_put": put }],
-        "failure": [{ "request_range": { "key": encode(key) } }],
-    })
-}
-
-pub(crate) fn watch_request(prefix: &str, from_revision: u64) -> Value {
-    json!({
-        "create_request": {
-            "key": encode(prefix),
-            "range_end": encode(range_end(prefix)),
-            "start_revision": from_revision.to_string(),
-        }
-    })
-}
-
 /// A 64-bit number, written as a string or plainly.
 fn number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
     #[derive(Deserialize)]
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -15,10 +15,14 @@
 use crate::document::Conflict;
 use crate::error::Error;
 use crate::error::Result;
+use crate::key;
 
 /// Longest value that an error shows, in characters.
 const LONGEST_VALUE: usize = 80;
 
+/// What is allowed for a field that stands twice.
+const ONCE: &str = "each field once";
+
 /// Fields that hold secrets, which must not end up in logs.
 const SECRET: &str = "keys";
 
@@ -44,7 +48,6 @@
 pub(crate) struct Source {
     file: PathBuf,
     text: String,
-    fields: Fields,
 }
 
 impl Source {
@@ -59,7 +62,6 @@
         })?;
         Ok(Self {
             file: file.to_owned(),
-            fields: Fields::find(&stripped),
             text: stripped,
         })
     }
@@ -70,11 +72,13 @@
         let value = serde_path_to_error::deserialize(&mut deserializer)
             .map_err(|e| self.explain(&e.path().to_string(), e.inner()))?;
         deserializer.end().map_err(|e| self.explain(".", &e))?;
-        match &self.fields.doubled {
+        // Maps silently keep the last of two entries with one key, which would
+        // leave an operator wondering why the first has no effect.
+        match Fields::find(&self.text).doubled {
             Some(field) => Err(self.refuse(Refusal {
-                value: self.value_at(field),
-                field: field.clone(),
-                allowed: "each field once".to_owned(),
+                value: self.value_at(&field),
+                field,
+                allowed: ONCE.to_owned(),
             })),
             None => Ok(value),
         }
@@ -82,7 +86,8 @@
 
     /// The error for a field whose value is at odds with something.
     pub(crate) fn refuse(&self, refusal: Refusal) -> Error {
-        let given = self.fields.lines.contains_key(&refusal.field);
+        let fields = Fields::find(&self.text);
+        let given = fields.lines.contains_key(&refusal.field);
         let value = match given {
             _ if is_secret(&refusal.field) => "(hidden)".to_owned(),
             true => refusal.value,
@@ -90,7 +95,7 @@
         };
         Error::Field {
             file: self.file.clone(),
-            line: self.fields.line(&refusal.field),
+            line: fields.line(&refusal.field),
             field: refusal.field,
             value,
             allowed: refusal.allowed,
@@ -102,17 +107,20 @@
         let path = if path == "." { "" } else { path };
         let missing = quoted_after(&message, "missing field");
         let unknown = quoted_after(&message, "unknown field");
-        let field = match missing.or(unknown) {
+        let doubled = quoted_after(&message, "duplicate field");
+        let field = match missing.or(unknown).or(doubled) {
             Some(name) if !path.ends_with(name) => join(path, name),
             _ => path.to_owned(),
         };
-        let value = match missing {
-            Some(_) => "missing".to_owned(),
-            None if !error.is_data() => "unreadable".to_owned(),
-            None => self.value_at(&field),
+        let value = match (missing, unknown) {
+            (Some(_), _) => "missing".to_owned(),
+            // The value may be a secret under a misspelt name.
+            (_, Some(_)) => "unknown".to_owned(),
+            _ if !error.is_data() => "unreadable".to_owned(),
+            _ => self.value_at(&field),
         };
         let allowed = if is_secret(&field) {
-            crate::settings::KEY_FORM.to_owned()
+            key::FORM.to_owned()
         } else {
             allowed(&message)
         };
@@ -178,6 +186,9 @@
     if message.starts_with("missing field") {
         return "a value".to_owned();
     }
+    if message.starts_with("duplicate field") {
+        return ONCE.to_owned();
+    }
     // The standard library says what an address is not, but not what it is.
     if message.contains("socket address syntax") {
         return "an address as in 127.0.0.1:7100".to_owned();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,11 +5,9 @@
 //! which line it refuses.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::path::Path;
-use std::str::FromStr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -24,64 +22,11 @@
 use crate::jsonc::Source;
 use crate::platform::Base;
 
-/// Shortest key for the peers' MAC, in bytes.
-const MIN_KEY: usize = 16;
-
-/// What is allowed as a key.
-pub(crate) const KEY_FORM: &str = "at least 32 hexadecimal digits, an even number of them";
+pub use crate::key::Key;
 
 /// Largest settings or document file, in bytes.
 const MAX_FILE: u64 = 1 << 20;
 
-/// Key for the MAC on messages between instances.
-#[derive(Clone, PartialEq, Eq, Deserialize)]
-#[serde(try_from = "String")]
-pub struct Key(Vec<u8>);
-
-impl Key {
-    /// The key's bytes.
-    pub fn as_bytes(&self) -> &[u8] {
-        &self.0
-    }
-}
-
-impl FromStr for Key {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self> {
-        let refuse = || Error::Decode {
-            step: "key",
-            peer: "settings".to_owned(),
-            reason: format!("want {KEY_FORM}"),
-        };
-        let digits: Option<Vec<u8>> = text
-            .chars()
-            .map(|c| c.to_digit(16).and_then(|digit| u8::try_from(digit).ok()))
-            .collect();
-        let digits = digits.ok_or_else(refuse)?;
-        if digits.len() % 2 != 0 || digits.len() < 2 * MIN_KEY {
-            return Err(refuse());
-        }
-        let bytes = digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]);
-        Ok(Self(bytes.collect()))
-    }
-}
-
-impl TryFrom<String> for Key {
-    type Error = Error;
-
-    fn try_from(text: String) -> Result<Self> {
-        text.parse()
-    }
-}
-
-/// Shows no key, since settings are logged at the start.
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Key(hidden)")
-    }
-}
-
 /// Bounds of what an instance holds in memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use reqwest::Response;
 use reqwest::StatusCode;
-use serde_json::Value;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -22,6 +22,7 @@
 use crate::platform::Base;
 use crate::platform::Counts;
 use crate::platform::Options;
+use crate::request::Body;
 
 /// Largest answer that is read, in bytes.
 ///
@@ -29,6 +30,17 @@
 /// that is no store and would only fill the memory.
 pub(crate) const MAX_ANSWER: usize = 64 << 20;
 
+/// Idle connections kept for each address.
+///
+/// A connection that something in between has forgotten swallows the call that
+/// is sent on it, which shows as a timeout and closes it. Few of them and not
+/// for long, so that after such a fault few calls are lost before new
+/// connections are made.
+const MAX_IDLE: usize = 2;
+
+/// Time for which an idle connection is kept.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
+
 /// Adds one to a count.
 pub(crate) fn add(count: &AtomicU64) {
     count.fetch_add(1, Ordering::Relaxed);
@@ -49,7 +61,7 @@
     pub(crate) step: &'static str,
     pub(crate) kind: Kind,
     pub(crate) path: &'static str,
-    pub(crate) body: Value,
+    pub(crate) body: Body,
 }
 
 impl Call {
@@ -103,6 +115,8 @@
             .redirect(reqwest::redirect::Policy::none())
             .retry(reqwest::retry::never())
             .connect_timeout(options.connect_timeout)
+            .pool_max_idle_per_host(MAX_IDLE)
+            .pool_idle_timeout(MAX_IDLE_TIME)
             .tcp_nodelay(true)
             .build()
             .map_err(unusable)?;
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -69,7 +69,7 @@
 
 /// State of the stream between two items.
 enum State {
-    Closed(Call),
+    Closed(Box<Call>),
     Open(Box<Watch>),
 }
 
@@ -78,11 +78,11 @@
     transport: Arc<Transport>,
     call: Call,
 ) -> impl Stream<Item = Result<Vec<Change>>> + Send + 'static {
-    stream::try_unfold(State::Closed(call), move |state| {
+    stream::try_unfold(State::Closed(Box::new(call)), move |state| {
         let transport = Arc::clone(&transport);
         async move {
             let mut watch = match state {
-                State::Closed(call) => Box::new(Watch::open(&transport, call).await?),
+                State::Closed(call) => Box::new(Watch::open(&transport, *call).await?),
                 State::Open(watch) => watch,
             };
             let batch = watch.next().await?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -356,6 +356,29 @@
         panic!("no deletion");
     };
     assert_eq!(key, "p/a");
+    let update = time::timeout(PATIENCE, updates.recv()).await;
+    assert!(
+        matches!(update, Ok(Some(Update::Contact { .. }))),
+        "{update:?}"
+    );
+}
+
+// Nothing changes for a while. Each contact carries the time at which it was
+// asked for, so that a consumer that comes late to it doesn't take it for new.
+#[tokio::test]
+async fn follower_tells_contact_with_its_time() {
+    let platform = start().await;
+    let mut updates = follow(&client(&platform));
+    assert!(next_reset(&mut updates).await.is_empty());
+    let mut last = Instant::now();
+    for _ in 0..3 {
+        let update = time::timeout(PATIENCE, updates.recv()).await;
+        let Ok(Some(Update::Contact { at })) = update else {
+            panic!("no contact: {update:?}");
+        };
+        assert!(at >= last && at <= Instant::now());
+        last = at;
+    }
 }
 
 // The platform goes away for a while, and a change is made before it answers
