--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -2,8 +2,7 @@
 //!
 //! One caller is one UDP endpoint. It retransmits confirmable requests, matches
 //! answers by token, acknowledges what asks for it and rejects what it did not
-//! ask for, as RFC 7252 has it. Feeds keep the order of RFC 7641 and count what
-//! they miss.
+//! ask for, as RFC 7252 has it.
 
 use std::collections::HashMap;
 use std::io;
@@ -29,18 +28,18 @@
 use tokio::time;
 use tokio::time::Instant;
 
+pub use crate::feed::Feed;
+pub use crate::feed::Update;
 use crate::lock::lock;
 use crate::message;
 use crate::message::MAX_DATAGRAM;
+pub use crate::transfer::Download;
+pub use crate::transfer::Upload;
 
 /// Most by which the first timeout is stretched at random.
 const ACK_RANDOM_FACTOR: f64 = 1.5;
 /// Wait that a refusal without Max-Age stands for.
 const DEFAULT_MAX_AGE: u32 = 60;
-/// Half of the Observe numbers; a step greater than this is one back.
-const OBSERVE_HALF: u32 = 1 << 23;
-/// After this long any notification counts as newer.
-const OBSERVE_FRESH: Duration = Duration::from_secs(128);
 
 /// Where a caller calls and how patient it is.
 #[derive(Clone, Debug)]
@@ -95,7 +94,7 @@
 }
 
 impl Outcome {
-    fn of(answer: &Packet) -> Self {
+    pub(crate) fn of(answer: &Packet) -> Self {
         let MessageClass::Response(code) = answer.header.code else {
             return Self::Silent;
         };
@@ -129,7 +128,7 @@
     unacknowledged: HashMap<u16, Vec<u8>>,
 }
 
-struct Shared {
+pub(crate) struct Shared {
     settings: Settings,
     socket: UdpSocket,
     state: Mutex<State>,
@@ -147,8 +146,25 @@
         state.message_id
     }
 
+    /// A new token and what arrives for it.
+    fn register(&self) -> (Vec<u8>, mpsc::UnboundedReceiver<Arrival>) {
+        let (sender, arrivals) = mpsc::unbounded_channel();
+        let mut state = lock(&self.state);
+        let token = state.rng.random::<[u8; 8]>().to_vec();
+        state.waiting.insert(token.clone(), sender);
+        (token, arrivals)
+    }
+
+    /// Expects an acknowledgement; returns the time to the first retransmission.
+    fn expect(&self, message_id: u16, token: &[u8]) -> Duration {
+        let mut state = lock(&self.state);
+        state.unacknowledged.insert(message_id, token.to_vec());
+        let stretch = state.rng.random_range(1.0..=ACK_RANDOM_FACTOR);
+        self.settings.ack_timeout.mul_f64(stretch)
+    }
+
     /// A confirmable request, complete but for its token.
-    fn request(&self, method: RequestType, path: &str) -> Packet {
+    pub(crate) fn request(&self, method: RequestType, path: &str) -> Packet {
         let mut packet = Packet::new();
         packet.header.code = MessageClass::Request(method);
         packet.header.set_type(MessageType::Confirmable);
@@ -163,7 +179,7 @@
 
 /// One endpoint that calls one service.
 pub struct Caller {
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     _tasks: JoinSet<()>,
 }
 
@@ -251,12 +267,25 @@
         }
     }
 
-    async fn exchange(&self, mut packet: Packet) -> Exchange {
-        let (sender, arrivals) = mpsc::unbounded_channel();
-        let mut state = lock(&self.shared.state);
-        let token = state.rng.random::<[u8; 8]>().to_vec();
-        state.waiting.insert(token.clone(), sender);
-        drop(state);
+    /// Prepares the upload of a body in blocks.
+    pub fn upload(
+        &self,
+        method: RequestType,
+        path: &str,
+        body: impl Into<Vec<u8>>,
+        block_size: usize,
+    ) -> Upload<'_> {
+        let tag = lock(&self.shared.state).rng.random::<[u8; 4]>();
+        Upload::new(self, method, path, body.into(), block_size, tag)
+    }
+
+    /// Prepares the download of an answer in blocks.
+    pub fn download(&self, path: &str) -> Download<'_> {
+        Download::new(self, path)
+    }
+
+    pub(crate) async fn exchange(&self, mut packet: Packet) -> Exchange {
+        let (token, arrivals) = self.shared.register();
         packet.set_token(token.clone());
         let mut exchange = Exchange {
             shared: self.shared.clone(),
@@ -293,12 +322,15 @@
     let message_id = packet.header.message_id;
     let kind = packet.header.get_type();
     let mut state = lock(&shared.state);
+    let acknowledged = (kind == MessageType::Acknowledgement)
+        .then(|| state.unacknowledged.remove(&message_id))
+        .flatten();
     if packet.header.code == MessageClass::Empty {
-        if kind == MessageType::Acknowledgement {
-            let token = state.unacknowledged.remove(&message_id)?;
-            // The exchange may be over already.
-            let _ = state.waiting.get(&token)?.send(Arrival::Acknowledged);
-        }
+        // The exchange may be over already.
+        let _ = state
+            .waiting
+            .get(&acknowledged?)?
+            .send(Arrival::Acknowledged);
         return None;
     }
     let waiting = state.waiting.get(packet.get_token());
@@ -327,8 +359,8 @@
 
 /// A request that was sent, with all answers to its token.
 pub struct Exchange {
-    shared: Arc<Shared>,
-    token: Vec<u8>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) token: Vec<u8>,
     message_id: u16,
     datagram: Bytes,
     arrivals: mpsc::UnboundedReceiver<Arrival>,
@@ -350,17 +382,12 @@
         }
     }
 
-    async fn send(&mut self, packet: &Packet) {
+    /// Sends a request under this exchange's token.
+    pub(crate) async fn send(&mut self, packet: &Packet) {
         self.message_id = packet.header.message_id;
         // A request that is too large to be sent stays without an answer.
         self.datagram = packet.to_bytes().unwrap_or_default().into();
-        let mut state = lock(&self.shared.state);
-        state
-            .unacknowledged
-            .insert(self.message_id, self.token.clone());
-        let stretch = state.rng.random_range(1.0..=ACK_RANDOM_FACTOR);
-        drop(state);
-        let wait = self.shared.settings.ack_timeout.mul_f64(stretch);
+        let wait = self.shared.expect(self.message_id, &self.token);
         self.retransmission = Some(Retransmission {
             at: Instant::now() + wait,
             wait,
@@ -374,7 +401,8 @@
         self.shared.send(&self.datagram, to).await;
     }
 
-    async fn answer(&mut self, deadline: Duration) -> Option<(Packet, Instant)> {
+    /// The next answer and when it came.
+    pub(crate) async fn answer(&mut self, deadline: Duration) -> Option<(Packet, Instant)> {
         let end = Instant::now() + deadline;
         loop {
             let resend = self.retransmission.as_ref().filter(|next| next.left > 0);
@@ -406,165 +434,11 @@
     fn drop(&mut self) {
         let mut state = lock(&self.shared.state);
         state.waiting.remove(&self.token);
-        state.unacknowledged.retain(|_, token| *token != self.token);
-    }
-}
-
-/// What a feed gives next.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Update {
-    /// A notification newer than all before it.
-    Notification {
-        /// Its Observe number.
-        observe: u32,
-        /// Its payload.
-        payload: Vec<u8>,
-    },
-    /// The feed is over, and this was its last answer.
-    Ended(Outcome),
-    /// Nothing new came in time.
-    Silent,
-}
-
-/// Server and count that a notification of the stand-in server names.
-#[derive(Clone, PartialEq, Eq)]
-struct Position {
-    server: String,
-    count: u64,
-}
-
-impl Position {
-    fn parse(payload: &[u8]) -> Option<Self> {
-        let text = std::str::from_utf8(payload).ok()?;
-        let (server, count) = text.strip_prefix("server=")?.split_once(",n=")?;
-        Some(Self {
-            server: server.to_owned(),
-            count: count.parse().ok()?,
-        })
+        state.unacknowledged.remove(&self.message_id);
     }
 }
 
-/// A feed that the caller holds open.
-pub struct Feed {
-    exchange: Exchange,
-    path: String,
-    newest: Option<(u32, Instant)>,
-    last_heard: Instant,
-    position: Option<Position>,
-    missed: u64,
-    outdated: u64,
-    moves: u64,
-}
-
-impl Feed {
-    fn new(exchange: Exchange, path: &str) -> Self {
-        Self {
-            exchange,
-            path: path.to_owned(),
-            newest: None,
-            last_heard: Instant::now(),
-            position: None,
-            missed: 0,
-            outdated: 0,
-            moves: 0,
-        }
-    }
-
-    /// Waits for the next notification and drops older ones.
-    pub async fn next(&mut self, wait: Duration) -> Update {
-        let end = Instant::now() + wait;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let Some((packet, at)) = self.exchange.answer(left).await else {
-                return Update::Silent;
-            };
-            let Some(observe) = message::number(&packet, CoapOption::Observe) else {
-                return Update::Ended(Outcome::of(&packet));
-            };
-            self.last_heard = at;
-            if self.is_newer(observe, at) {
-                self.newest = Some((observe, at));
-                self.locate(&packet.payload);
-                let payload = packet.payload;
-                return Update::Notification { observe, payload };
-            }
-            self.outdated += 1;
-        }
-    }
-
-    /// Registers again under the same token; the answer comes as an update.
-    pub async fn renew(&mut self) {
-        self.register(0).await;
-    }
-
-    /// Ends the feed and waits for the answer to that.
-    pub async fn cancel(mut self, deadline: Duration) -> Outcome {
-        self.register(1).await;
-        let end = Instant::now() + deadline;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            match self.next(left).await {
-                Update::Notification { .. } => {}
-                Update::Ended(outcome) => return outcome,
-                Update::Silent => return Outcome::Silent,
-            }
-        }
-    }
-
-    /// When anything was last heard on it.
-    pub fn last_heard(&self) -> Instant {
-        self.last_heard
-    }
-
-    /// Notifications of one server that never came.
-    pub fn missed(&self) -> u64 {
-        self.missed
-    }
-
-    /// Notifications dropped because a newer one was there.
-    pub fn outdated(&self) -> u64 {
-        self.outdated
-    }
-
-    /// How often the feed came to be served by another server.
-    pub fn moves(&self) -> u64 {
-        self.moves
-    }
-
-    /// The server that sent the newest notification.
-    pub fn server(&self) -> Option<&str> {
-        self.position.as_ref().map(|at| at.server.as_str())
-    }
-
-    async fn register(&mut self, observe: u32) {
-        let shared = self.exchange.shared.clone();
-        let mut packet = shared.request(RequestType::Get, &self.path);
-        packet.set_observe_value(observe);
-        packet.set_token(self.exchange.token.clone());
-        self.exchange.send(&packet).await;
-    }
-
-    /// The rule of RFC 7641, section 3.4.
-    fn is_newer(&self, observe: u32, at: Instant) -> bool {
-        let Some((newest, heard)) = self.newest else {
-            return true;
-        };
-        (newest < observe && observe - newest < OBSERVE_HALF)
-            || (newest > observe && newest - observe > OBSERVE_HALF)
-            || at > heard + OBSERVE_FRESH
-    }
-
-    fn locate(&mut self, payload: &[u8]) {
-        let Some(now) = Position::parse(payload) else {
-            return;
-        };
-        match &self.position {
-            Some(before) if before.server == now.server => {
-                self.missed += now.count.saturating_sub(before.count + 1);
-            }
-            Some(_) => self.moves += 1,
-            None => {}
-        }
-        self.position = Some(now);
-    }
+/// Time left until then.
+pub(crate) fn left(end: Instant) -> Duration {
+    end.saturating_duration_since(Instant::now())
 }
--- a/standin/src/etcd.rs
+++ b/standin/src/etcd.rs
@@ -206,11 +206,13 @@
 }
 
 #[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
 pub(crate) enum OperationResponse {
-    ResponseRange(RangeResponse),
-    ResponsePut(PutResponse),
-    ResponseDeleteRange(DeleteRangeResponse),
+    #[serde(rename = "response_range")]
+    Range(RangeResponse),
+    #[serde(rename = "response_put")]
+    Put(PutResponse),
+    #[serde(rename = "response_delete_range")]
+    DeleteRange(DeleteRangeResponse),
 }
 
 #[derive(Serialize)]
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -298,15 +298,18 @@
     Ok(axum::Json(store.shown_range(&request)))
 }
 
-/// Counts a write, runs it and may lose its answer.
+/// Counts a write, runs it and may lose its answer if it changed anything.
 fn write<T>(
     shared: &Shared,
     line: &Line,
     work: impl FnOnce(&mut Store) -> Result<T, store::Error>,
 ) -> Answer<T> {
     shared.count(|counters| counters.writes += 1);
-    let result = shared.change(work);
-    if shared.loses_answer() {
+    let (result, took_effect) = shared.change(|store| {
+        let before = store.header().revision;
+        (work(store), store.header().revision > before)
+    });
+    if took_effect && shared.loses_answer() {
         line.cut();
     }
     Ok(axum::Json(result?))
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -18,13 +18,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use axum::Json;
-use axum::Router;
-use axum::extract::ConnectInfo;
-use axum::extract::State as Extract;
-use axum::response::IntoResponse;
-use axum::response::Response;
-use axum::routing::get;
 use coap_lite::CoapOption;
 use coap_lite::MessageClass;
 use coap_lite::MessageType;
@@ -32,7 +25,6 @@
 use coap_lite::RequestType;
 use coap_lite::ResponseType;
 use coap_lite::block_handler::BlockValue;
-use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
@@ -41,8 +33,8 @@
 use tokio::time;
 use tokio::time::Instant;
 
-use crate::gate::Gate;
-use crate::gate::Line;
+use crate::health;
+pub use crate::health::Lies;
 use crate::lock::lock;
 use crate::message;
 use crate::message::MAX_BLOCK;
@@ -104,17 +96,6 @@
     }
 }
 
-/// What the health endpoint says in place of the truth.
-#[derive(Clone, Debug, Default)]
-pub struct Lies {
-    /// The state.
-    pub state: Option<String>,
-    /// The requests in progress.
-    pub outstanding: Option<usize>,
-    /// The service.
-    pub service: Option<String>,
-}
-
 /// A request that reached the server, whether or not it ran.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -133,13 +114,13 @@
 }
 
 #[derive(Default)]
-struct State {
-    draining: bool,
+pub(crate) struct State {
+    pub(crate) draining: bool,
     shedding: bool,
-    health_down: bool,
-    health_delay: Duration,
-    lies: Lies,
-    outstanding: usize,
+    pub(crate) health_down: bool,
+    pub(crate) health_delay: Duration,
+    pub(crate) lies: Lies,
+    pub(crate) outstanding: usize,
     running: usize,
     peak: usize,
     starts: BTreeMap<String, u64>,
@@ -207,13 +188,13 @@
     }
 }
 
-struct Shared {
-    settings: Settings,
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
     socket: UdpSocket,
     slots: Semaphore,
     frozen: watch::Sender<bool>,
     service_time: watch::Sender<Duration>,
-    state: Mutex<State>,
+    pub(crate) state: Mutex<State>,
 }
 
 /// A running server; it ends when this is dropped.
@@ -245,7 +226,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(receive(shared.clone()));
     tasks.spawn(notify(shared.clone()));
-    tasks.spawn(serve_health(listener, shared.clone()));
+    tasks.spawn(health::serve(listener, shared.clone()));
     Ok(Handle {
         address,
         health_address,
@@ -366,7 +347,8 @@
     }
 }
 
-async fn thawed(shared: &Shared) {
+/// Waits until the server is not frozen.
+pub(crate) async fn thawed(shared: &Shared) {
     // The sender lives as long as the shared state.
     let _ = shared.frozen.subscribe().wait_for(|frozen| !frozen).await;
 }
@@ -547,7 +529,13 @@
     };
     let deadline = message::number(&request.packet, CoapOption::Unknown(DEADLINE_OPTION));
     let deadline = deadline.map_or(Duration::MAX, |ms| Duration::from_millis(ms.into()));
-    let Ok(Ok(_slot)) = time::timeout(deadline, shared.slots.acquire()).await else {
+    // A request that waited out its deadline in a frozen server must not start late.
+    let slot = async {
+        let slot = shared.slots.acquire().await;
+        thawed(shared).await;
+        slot
+    };
+    let Ok(Ok(_slot)) = time::timeout(deadline, slot).await else {
         return unavailable(shared);
     };
     begin(shared, body);
@@ -561,7 +549,9 @@
     let mut state = lock(&shared.state);
     state.running += 1;
     state.peak = state.peak.max(state.running);
-    *state.starts.entry(text(body)).or_default() += 1;
+    if !body.is_empty() {
+        *state.starts.entry(text(body)).or_default() += 1;
+    }
 }
 
 fn execute(shared: &Shared, request: &Request, body: &[u8]) -> Packet {
@@ -675,45 +665,3 @@
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
-
-/// What the health endpoint answers.
-#[derive(Serialize)]
-struct Health {
-    service: String,
-    server: String,
-    state: String,
-    outstanding: usize,
-    slots: usize,
-}
-
-async fn serve_health(listener: TcpListener, shared: Arc<Shared>) {
-    let routes = Router::new()
-        .route("/health", get(health))
-        .with_state(shared);
-    let service = routes.into_make_service_with_connect_info::<Line>();
-    // Serving ends only with the task.
-    let _ = axum::serve(Gate(listener), service).await;
-}
-
-async fn health(
-    Extract(shared): Extract<Arc<Shared>>,
-    ConnectInfo(line): ConnectInfo<Line>,
-) -> Response {
-    let delay = lock(&shared.state).health_delay;
-    time::sleep(delay).await;
-    thawed(&shared).await;
-    let state = lock(&shared.state);
-    if state.health_down {
-        line.cut();
-    }
-    let truth = if state.draining { "draining" } else { "up" };
-    let lies = state.lies.clone();
-    Json(Health {
-        service: lies.service.unwrap_or(shared.settings.service.clone()),
-        server: shared.settings.name.clone(),
-        state: lies.state.unwrap_or(truth.to_owned()),
-        outstanding: lies.outstanding.unwrap_or(state.outstanding),
-        slots: shared.settings.slots,
-    })
-    .into_response()
-}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -185,9 +185,8 @@
         if branch.len() > MAX_OPERATIONS {
             return Err(Error::TooManyOperations);
         }
-        let puts = branch.iter().filter_map(|op| op.request_put.as_ref());
-        puts.map(|put| self.check_put(put))
-            .collect::<Result<(), _>>()?;
+        let mut puts = branch.iter().filter_map(|op| op.request_put.as_ref());
+        puts.try_for_each(|put| self.check_put(put))?;
 
         let next = self.revision + 1;
         let recorded = self.history.len();
@@ -207,17 +206,17 @@
         if let Some(put) = &op.request_put {
             self.apply_put(put, revision);
             let header = header(revision);
-            return Some(OperationResponse::ResponsePut(PutResponse { header }));
+            return Some(OperationResponse::Put(PutResponse { header }));
         }
         if let Some(range) = &op.request_delete_range {
             let deleted = self.apply_delete(&range.key, &range.range_end, revision);
             let header = header(revision);
             let response = DeleteRangeResponse { header, deleted };
-            return Some(OperationResponse::ResponseDeleteRange(response));
+            return Some(OperationResponse::DeleteRange(response));
         }
         let range = op.request_range.as_ref()?;
         let response = read(&self.keys, range, self.header());
-        Some(OperationResponse::ResponseRange(response))
+        Some(OperationResponse::Range(response))
     }
 
     fn holds(&self, compare: &Compare) -> bool {
