--- /dev/null
+++ b/src/worker.rs
@@ -0,0 +1,301 @@
+//! Worker threads: each runs one engine and carries out its actions.
+
+use std::collections::HashMap;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use crossbeam::channel::TrySendError;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use crate::action::Action;
+use crate::action::Delivery;
+use crate::action::Note;
+use crate::codec;
+use crate::engine::ATTEMPT_BITS;
+use crate::engine::Engine;
+use crate::error::Result;
+use crate::event::Event;
+use crate::id;
+use crate::link::Link;
+use crate::table;
+
+/// Sockets toward the backend servers. Something between the two ends may lose
+/// track of one of them; a feed that fell silent is registered again from another.
+pub(crate) const PATHS: usize = 4;
+
+/// Events that may wait for a worker; what comes beyond is dropped like on a wire.
+const QUEUE: usize = 65_536;
+
+/// Longest wait between two ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Events handled between two looks at the clock's ticks.
+const BATCH: usize = 256;
+
+/// What a worker is given.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// An event.
+    Event(Event),
+    /// A backend server's answer, with the message to acknowledge.
+    Answer {
+        event: Event,
+        from: id::Endpoint,
+        path: usize,
+        acknowledge: Option<u16>,
+    },
+}
+
+/// What a worker tells the control task.
+#[derive(Debug)]
+pub(crate) struct Joined {
+    pub(crate) slice: id::Slice,
+    pub(crate) backup: id::Holder,
+}
+
+/// Where actions go; shared by all workers.
+///
+/// Lock order: `listeners` is a leaf, held for one lookup.
+pub(crate) struct Outlet {
+    pub(crate) listeners: RwLock<HashMap<id::Service, Arc<UdpSocket>>>,
+    pub(crate) paths: Vec<UdpSocket>,
+    pub(crate) link: Arc<Link>,
+    pub(crate) joined: UnboundedSender<Joined>,
+    pub(crate) observe: Box<dyn Fn(Instant, &Note) + Send + Sync>,
+    pub(crate) message: AtomicUsize,
+}
+
+/// A worker's load, as it last told.
+#[derive(Debug, Default)]
+pub(crate) struct Gauge {
+    pub(crate) in_progress: AtomicU64,
+    pub(crate) feeds: AtomicU64,
+    pub(crate) records: AtomicU64,
+    pub(crate) dropped: AtomicU64,
+}
+
+/// The workers' inputs.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    senders: Vec<Sender<Input>>,
+    gauges: Arc<Vec<Gauge>>,
+    slices: u32,
+    hash_key: u64,
+}
+
+impl Pool {
+    /// Starts one thread for each engine.
+    pub(crate) fn start(
+        engines: Vec<Engine>,
+        outlet: &Arc<Outlet>,
+        slices: u32,
+        hash_key: u64,
+    ) -> Self {
+        let gauges: Vec<Gauge> = engines.iter().map(|_| Gauge::default()).collect();
+        let gauges = Arc::new(gauges);
+        let mut senders = Vec::new();
+        for (number, engine) in engines.into_iter().enumerate() {
+            let (sender, receiver) = crossbeam::channel::bounded(QUEUE);
+            let outlet = Arc::clone(outlet);
+            let gauges = Arc::clone(&gauges);
+            std::thread::spawn(move || run(engine, &receiver, &outlet, &gauges[number]));
+            senders.push(sender);
+        }
+        Self {
+            senders,
+            gauges,
+            slices,
+            hash_key,
+        }
+    }
+
+    /// The slice of a flow.
+    pub(crate) fn slice(&self, flow: &crate::request::Flow) -> id::Slice {
+        table::slice(self.slices, self.hash_key, flow)
+    }
+
+    /// Gives an event to the worker that owns a slice.
+    pub(crate) fn give(&self, slice: id::Slice, event: Event) {
+        let worker = slice.0 as usize % self.senders.len();
+        self.push(worker, Input::Event(event));
+    }
+
+    /// Gives a server's answer to the worker whose sending it answers.
+    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) {
+        let worker = (attempt.0 >> ATTEMPT_BITS) as usize;
+        if worker < self.senders.len() {
+            self.push(worker, input);
+        }
+    }
+
+    /// Gives an event to all workers; waits for room, since none may miss it.
+    pub(crate) fn tell(&self, event: &Event) {
+        for sender in &self.senders {
+            let _ = sender.send(Input::Event(event.clone()));
+        }
+    }
+
+    fn push(&self, worker: usize, input: Input) {
+        if let Err(TrySendError::Full(_)) = self.senders[worker].try_send(input) {
+            self.gauges[worker].dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Sum of a value over all workers.
+    pub(crate) fn sum(&self, value: impl Fn(&Gauge) -> &AtomicU64) -> u64 {
+        let values = self.gauges.iter();
+        values
+            .map(|gauge| value(gauge).load(Ordering::Relaxed))
+            .sum()
+    }
+}
+
+fn run(mut engine: Engine, receiver: &Receiver<Input>, outlet: &Outlet, gauge: &Gauge) {
+    let mut ticked = Instant::now();
+    loop {
+        match receiver.recv_timeout(TICK) {
+            Ok(input) => take(&mut engine, input, outlet),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        for input in receiver.try_iter().take(BATCH) {
+            take(&mut engine, input, outlet);
+        }
+        let now = Instant::now();
+        if now >= ticked + TICK {
+            ticked = now;
+            act(now, engine.handle(now, Event::Tick), outlet);
+            let in_progress = engine.in_progress() as u64;
+            gauge.in_progress.store(in_progress, Ordering::Relaxed);
+            gauge.feeds.store(engine.feeds() as u64, Ordering::Relaxed);
+            gauge
+                .records
+                .store(engine.records() as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+fn take(engine: &mut Engine, input: Input, outlet: &Outlet) {
+    let now = Instant::now();
+    match input {
+        Input::Event(event) => act(now, engine.handle(now, event), outlet),
+        Input::Answer {
+            event,
+            from,
+            path,
+            acknowledge,
+        } => {
+            let actions = engine.handle(now, event);
+            let rejected = actions.iter().any(|a| matches!(a, Action::Reject { .. }));
+            if let Some(message) = acknowledge.filter(|_| !rejected) {
+                let receipt = codec::write_receipt(message);
+                let _ = outlet.paths[path].send_to(&receipt, from.0);
+            }
+            act(now, actions, outlet);
+        }
+    }
+}
+
+fn act(now: Instant, actions: Vec<Action>, outlet: &Outlet) {
+    for action in actions {
+        // A datagram that cannot be written or sent is like one that is lost.
+        let _ = carry_out(now, action, outlet);
+    }
+}
+
+fn carry_out(now: Instant, action: Action, outlet: &Outlet) -> Result<()> {
+    match action {
+        Action::Forward {
+            server,
+            attempt,
+            service,
+            remaining,
+            datagram,
+        } => {
+            let message = next_message(outlet);
+            let bytes = codec::write_forward(&datagram, &service, attempt, message, remaining)?;
+            let _ = path(outlet, attempt).send_to(&bytes, server.address.0);
+        }
+        Action::Reject {
+            to,
+            attempt,
+            datagram,
+        } => {
+            if let Some(message) = codec::message_number(&datagram) {
+                let bytes = codec::write_rejection(message);
+                let _ = path(outlet, attempt).send_to(&bytes, to.0);
+            }
+        }
+        Action::Answer {
+            flow,
+            id,
+            token,
+            confirmable,
+            delivery,
+            sequence,
+            outcome,
+        } => {
+            let address = codec::Address {
+                id,
+                token,
+                confirmable,
+                separate: match delivery {
+                    Delivery::Direct => None,
+                    Delivery::Separate { message } => Some(message),
+                },
+                message: next_message(outlet),
+                sequence,
+            };
+            let bytes = codec::write_answer(&address, &outcome)?;
+            outlet.to_caller(&flow, &bytes);
+        }
+        Action::Acknowledge { flow, id } => {
+            outlet.to_caller(&flow, &codec::write_acknowledgement(id));
+        }
+        Action::Notify {
+            flow,
+            token,
+            message,
+            sequence,
+            confirmable,
+            datagram,
+        } => {
+            let datagram = datagram.as_ref();
+            let bytes = codec::write_notification(token, message, sequence, confirmable, datagram)?;
+            outlet.to_caller(&flow, &bytes);
+        }
+        Action::Peer { to, body } => outlet.link.send(&to, body),
+        Action::Joined { slice, backup } => {
+            let _ = outlet.joined.send(Joined { slice, backup });
+        }
+        Action::Note(note) => (outlet.observe)(now, &note),
+    }
+    Ok(())
+}
+
+impl Outlet {
+    fn to_caller(&self, flow: &crate::request::Flow, bytes: &[u8]) {
+        let listener = self.listeners.read().ok();
+        let listener = listener.and_then(|known| known.get(&flow.service).map(Arc::clone));
+        if let Some(listener) = listener {
+            let _ = listener.send_to(bytes, flow.caller.0);
+        }
+    }
+}
+
+fn next_message(outlet: &Outlet) -> u16 {
+    outlet.message.fetch_add(1, Ordering::Relaxed) as u16
+}
+
+fn path(outlet: &Outlet, attempt: id::Attempt) -> &UdpSocket {
+    &outlet.paths[attempt.0 as usize % outlet.paths.len()]
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -25,6 +25,8 @@
 use crate::etcd::Range;
 use crate::etcd::RangeResponse;
 use crate::etcd::Relation;
+use crate::etcd::SortOrder;
+use crate::etcd::SortTarget;
 use crate::etcd::Target;
 use crate::etcd::Txn;
 use crate::etcd::TxnResponse;
@@ -185,9 +187,8 @@
         if branch.len() > MAX_OPERATIONS {
             return Err(Error::TooManyOperations);
         }
-        let puts = branch.iter().filter_map(|op| op.request_put.as_ref());
-        puts.map(|put| self.check_put(put))
-            .collect::<Result<(), _>>()?;
+        let mut puts = branch.iter().filter_map(|op| op.request_put.as_ref());
+        puts.try_for_each(|put| self.check_put(put))?;
 
         let next = self.revision + 1;
         let recorded = self.history.len();
@@ -207,17 +208,17 @@
         if let Some(put) = &op.request_put {
             self.apply_put(put, revision);
             let header = header(revision);
-            return Some(OperationResponse::ResponsePut(PutResponse { header }));
+            return Some(OperationResponse::Put(PutResponse { header }));
         }
         if let Some(range) = &op.request_delete_range {
             let deleted = self.apply_delete(&range.key, &range.range_end, revision);
             let header = header(revision);
             let response = DeleteRangeResponse { header, deleted };
-            return Some(OperationResponse::ResponseDeleteRange(response));
+            return Some(OperationResponse::DeleteRange(response));
         }
         let range = op.request_range.as_ref()?;
         let response = read(&self.keys, range, self.header());
-        Some(OperationResponse::ResponseRange(response))
+        Some(OperationResponse::Range(response))
     }
 
     fn holds(&self, compare: &Compare) -> bool {
@@ -371,7 +372,8 @@
 }
 
 fn read(keys: &Keys, range: &Range, header: Header) -> RangeResponse {
-    let found: Vec<_> = span(keys, &range.key, &range.range_end).collect();
+    let mut found: Vec<_> = span(keys, &range.key, &range.range_end).collect();
+    sort(&mut found, range);
     let limit = match usize::try_from(range.limit) {
         Ok(limit @ 1..) => limit,
         _ => found.len(),
@@ -380,10 +382,32 @@
         header,
         more: found.len() > limit,
         count: i64::try_from(found.len()).unwrap_or(i64::MAX),
-        kvs: found.into_iter().take(limit).cloned().collect(),
+        kvs: found
+            .into_iter()
+            .take(limit)
+            .map(|kv| show(kv, range))
+            .collect(),
     }
 }
 
+/// Puts keys, which stand in their own order, into that of the request.
+fn sort(found: &mut [&Kv], range: &Range) {
+    if range.sort_target == SortTarget::Mod {
+        found.sort_by_key(|kv| kv.mod_revision);
+    }
+    if range.sort_order == SortOrder::Descend {
+        found.reverse();
+    }
+}
+
+fn show(kv: &Kv, range: &Range) -> Kv {
+    let mut kv = kv.clone();
+    if range.keys_only {
+        kv.value.clear();
+    }
+    kv
+}
+
 fn span<'a>(keys: &'a Keys, key: &'a [u8], end: &'a [u8]) -> impl Iterator<Item = &'a Kv> {
     keys.range::<[u8], _>((Bound::Included(key), Bound::Unbounded))
         .map(|(_, kv)| kv)
