--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,431 @@
+//! Metrics of the daemon, as OpenMetrics text.
+//!
+//! Every label is bounded: reasons, kinds and directions are fixed lists, and
+//! the services past [`MAX_SERVICES`] share one label, so that no caller and no
+//! operator can make the text grow without end. Counters are atomic; the one
+//! lock here, around the services seen, is a leaf: nothing else is locked while
+//! it is held.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::DescriptorEncoder;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::encoding::EncodeMetric;
+use prometheus_client::encoding::LabelValueEncoder;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Metric;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::action::Note;
+use crate::id;
+use crate::platform::Client;
+use crate::platform::Counts;
+use crate::reason::Reason;
+
+/// Services that get a label of their own.
+pub const MAX_SERVICES: usize = 256;
+
+/// Media type of the text that [`Metrics::encode`] gives.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Bounds of the latency buckets, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Label of the services past [`MAX_SERVICES`]; no service can have this name.
+const OTHER: &str = "(other)";
+
+/// Suffix that the encoder gives every counter.
+const COUNTER_SUFFIX: &str = "_total";
+
+/// Name and meaning of a metric.
+type Name = (&'static str, &'static str);
+
+const EVENTS: Name = (
+    "godwitreel_events_total",
+    "What was done or refused, by reason code and service",
+);
+const PEER_MESSAGES: Name = (
+    "godwitreel_peer_messages_total",
+    "Messages between entry instances, by kind and direction",
+);
+const PEER_BYTES: Name = (
+    "godwitreel_peer_bytes_total",
+    "Bytes of messages between entry instances, by kind and direction",
+);
+const PLATFORM_CALLS: Name = (
+    "godwitreel_platform_calls_total",
+    "Calls sent to the platform, by kind",
+);
+const PLATFORM_FAILURES: Name = (
+    "godwitreel_platform_failures_total",
+    "Calls to the platform that failed, by kind of failure",
+);
+const HOME_SLICES: Name = (
+    "godwitreel_home_slices",
+    "Slices that this instance is home of",
+);
+const BACKUP_SLICES: Name = (
+    "godwitreel_backup_slices",
+    "Slices that this instance is backup of",
+);
+const ALONE_SLICES: Name = (
+    "godwitreel_alone_slices",
+    "Slices that this instance is home of without a backup",
+);
+const IN_PROGRESS_REQUESTS: Name = (
+    "godwitreel_in_progress_requests",
+    "Requests in progress at this instance",
+);
+const OPEN_FEEDS: Name = (
+    "godwitreel_open_feeds",
+    "Feeds open at this instance or kept as copies",
+);
+const PARKED_REQUESTS: Name = (
+    "godwitreel_parked_requests",
+    "Requests that wait for their slice to get a home",
+);
+const READY: Name = (
+    "godwitreel_ready",
+    "1 if this instance takes callers' datagrams, else 0",
+);
+const REQUEST_DURATION: Name = (
+    "godwitreel_request_duration_seconds",
+    "Time from forwarding a request to its server's answer, by service",
+);
+
+/// Every metric with its meaning, by the name under which it is scraped.
+pub const NAMES: &[(&str, &str)] = &[
+    EVENTS,
+    PEER_MESSAGES,
+    PEER_BYTES,
+    PLATFORM_CALLS,
+    PLATFORM_FAILURES,
+    HOME_SLICES,
+    BACKUP_SLICES,
+    ALONE_SLICES,
+    IN_PROGRESS_REQUESTS,
+    OPEN_FEEDS,
+    PARKED_REQUESTS,
+    READY,
+    REQUEST_DURATION,
+];
+
+/// Way of a message between entry instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Direction {
+    /// To a peer.
+    Sent,
+    /// From a peer.
+    Received,
+}
+
+impl EncodeLabelValue for Direction {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let label = match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        };
+        label.encode(encoder)
+    }
+}
+
+/// What the gauges show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Slices that this instance is home of.
+    pub homes: u32,
+    /// Slices that it is backup of.
+    pub backups: u32,
+    /// Slices that it is home of without a backup.
+    pub alone: u32,
+    /// Requests in progress.
+    pub in_progress: u64,
+    /// Feeds open or kept as copies.
+    pub feeds: u64,
+    /// Requests that wait for a home.
+    pub parked: u64,
+    /// Whether it takes callers' datagrams.
+    pub ready: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Service {
+    None,
+    Named(id::Service),
+    Other,
+}
+
+impl EncodeLabelValue for Service {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let label = match self {
+            Self::None => "",
+            Self::Named(service) => service.as_str(),
+            Self::Other => OTHER,
+        };
+        label.encode(encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabels {
+    reason: &'static str,
+    service: Service,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PeerLabels {
+    kind: &'static str,
+    direction: Direction,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: Service,
+}
+
+#[derive(Debug, Default)]
+struct Gauges {
+    homes: Gauge,
+    backups: Gauge,
+    alone: Gauge,
+    in_progress: Gauge,
+    feeds: Gauge,
+    parked: Gauge,
+    ready: Gauge,
+}
+
+/// All metrics of one daemon, shared through an `Arc`.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    events: Family<EventLabels, Counter>,
+    peer_messages: Family<PeerLabels, Counter>,
+    peer_bytes: Family<PeerLabels, Counter>,
+    durations: Family<ServiceLabels, Histogram>,
+    gauges: Gauges,
+    services: RwLock<HashSet<id::Service>>,
+}
+
+impl Metrics {
+    /// Metrics at 0, which show this client's calls to the platform.
+    pub fn new(platform: Client) -> Self {
+        let mut metrics = Self {
+            registry: Registry::default(),
+            events: Family::default(),
+            peer_messages: Family::default(),
+            peer_bytes: Family::default(),
+            durations: Family::new_with_constructor(|| Histogram::new(BUCKETS)),
+            gauges: Gauges::default(),
+            services: RwLock::default(),
+        };
+        metrics.register();
+        metrics
+            .registry
+            .register_collector(Box::new(Platform(platform)));
+        metrics.start_at_zero();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        register(registry, EVENTS, self.events.clone());
+        register(registry, PEER_MESSAGES, self.peer_messages.clone());
+        register(registry, PEER_BYTES, self.peer_bytes.clone());
+        register(registry, HOME_SLICES, self.gauges.homes.clone());
+        register(registry, BACKUP_SLICES, self.gauges.backups.clone());
+        register(registry, ALONE_SLICES, self.gauges.alone.clone());
+        register(
+            registry,
+            IN_PROGRESS_REQUESTS,
+            self.gauges.in_progress.clone(),
+        );
+        register(registry, OPEN_FEEDS, self.gauges.feeds.clone());
+        register(registry, PARKED_REQUESTS, self.gauges.parked.clone());
+        register(registry, READY, self.gauges.ready.clone());
+        register(registry, REQUEST_DURATION, self.durations.clone());
+    }
+
+    /// Shows every reason at 0, since a rate cannot be taken of a counter whose
+    /// first value is already 1.
+    fn start_at_zero(&self) {
+        for reason in Reason::ALL {
+            let labels = EventLabels {
+                reason: reason.code(),
+                service: Service::None,
+            };
+            drop(self.events.get_or_create(&labels));
+        }
+    }
+
+    /// Counts a note and, for an answered request, observes its duration.
+    pub fn note(&self, note: &Note) {
+        let service = self.service(note.flow.as_ref().map(|flow| &flow.service));
+        if let (Reason::Answered, Some(elapsed)) = (note.reason, note.elapsed) {
+            self.observe(service.clone(), elapsed);
+        }
+        let labels = EventLabels {
+            reason: note.reason.code(),
+            service,
+        };
+        self.events.get_or_create(&labels).inc();
+    }
+
+    /// Counts a message to or from a peer; `kind` is [`crate::peer::Body::kind`].
+    pub fn peer_message(&self, kind: &'static str, direction: Direction, bytes: usize) {
+        let labels = PeerLabels { kind, direction };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.peer_messages.get_or_create(&labels).inc();
+        self.peer_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    /// Sets all gauges.
+    pub fn set(&self, levels: &Levels) {
+        let gauges = &self.gauges;
+        gauges.homes.set(levels.homes.into());
+        gauges.backups.set(levels.backups.into());
+        gauges.alone.set(levels.alone.into());
+        gauges.in_progress.set(signed(levels.in_progress));
+        gauges.feeds.set(signed(levels.feeds));
+        gauges.parked.set(signed(levels.parked));
+        gauges.ready.set(levels.ready.into());
+    }
+
+    /// The metrics as OpenMetrics text.
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        match text::encode(&mut out, &self.registry) {
+            Ok(()) => out,
+            // Writing to a string does not fail; a cut text would lack its end mark.
+            Err(fmt::Error) => String::new(),
+        }
+    }
+
+    fn observe(&self, service: Service, elapsed: Duration) {
+        let labels = ServiceLabels { service };
+        self.durations
+            .get_or_create(&labels)
+            .observe(elapsed.as_secs_f64());
+    }
+
+    fn service(&self, service: Option<&id::Service>) -> Service {
+        let Some(service) = service else {
+            return Service::None;
+        };
+        if self.knows(service) || self.learn(service) {
+            Service::Named(service.clone())
+        } else {
+            Service::Other
+        }
+    }
+
+    fn knows(&self, service: &id::Service) -> bool {
+        let services = self.services.read();
+        services
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(service)
+    }
+
+    fn learn(&self, service: &id::Service) -> bool {
+        let services = self.services.write();
+        let mut services = services.unwrap_or_else(PoisonError::into_inner);
+        if services.len() >= MAX_SERVICES {
+            return services.contains(service);
+        }
+        services.insert(service.clone());
+        true
+    }
+}
+
+/// Registers a metric without the parts of its name that the encoder adds.
+fn register(registry: &mut Registry, (name, meaning): Name, metric: impl Metric) {
+    let name = name.strip_suffix(COUNTER_SUFFIX).unwrap_or(name);
+    match split_unit(name) {
+        (stem, Some(unit)) => registry.register_with_unit(stem, meaning, unit, metric),
+        (stem, None) => registry.register(stem, meaning, metric),
+    }
+}
+
+fn split_unit(name: &str) -> (&str, Option<Unit>) {
+    [Unit::Bytes, Unit::Seconds]
+        .into_iter()
+        .find_map(|unit| {
+            let stem = name.strip_suffix(unit.as_str())?.strip_suffix('_')?;
+            Some((stem, Some(unit)))
+        })
+        .unwrap_or((name, None))
+}
+
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Reads the platform client's own counts at each scrape, so that they stand once.
+struct Platform(Client);
+
+impl fmt::Debug for Platform {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Platform").field(self.0.counts()).finish()
+    }
+}
+
+impl Collector for Platform {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let counts = self.0.counts();
+        encode_kinds(&mut encoder, PLATFORM_CALLS, &calls(counts))?;
+        encode_kinds(&mut encoder, PLATFORM_FAILURES, &failures(counts))
+    }
+}
+
+type Kind<'a> = (&'static str, &'a AtomicU64);
+
+fn calls(counts: &Counts) -> [Kind<'_>; 4] {
+    [
+        ("read", &counts.reads),
+        ("write", &counts.writes),
+        ("lease", &counts.leases),
+        ("watch", &counts.watches),
+    ]
+}
+
+fn failures(counts: &Counts) -> [Kind<'_>; 5] {
+    [
+        ("unreachable", &counts.unreachable),
+        ("unanswered", &counts.unanswered),
+        ("refused", &counts.refused),
+        ("exhausted", &counts.exhausted),
+        ("stale", &counts.stale),
+    ]
+}
+
+fn encode_kinds(
+    encoder: &mut DescriptorEncoder<'_>,
+    (name, meaning): Name,
+    kinds: &[Kind<'_>],
+) -> fmt::Result {
+    let stem = name.strip_suffix(COUNTER_SUFFIX).unwrap_or(name);
+    let help = format!("{meaning}.");
+    let mut family = encoder.encode_descriptor(stem, &help, None, MetricType::Counter)?;
+    for (kind, count) in kinds {
+        let labels = [("kind", *kind)];
+        let counter = ConstCounter::new(count.load(Ordering::Relaxed));
+        counter.encode(family.encode_family(&labels)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,141 @@
+//! The ring behind `explain`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitreel::action::Note;
+use godwitreel::explain::Context;
+use godwitreel::explain::MAX_TRACES;
+use godwitreel::explain::Ring;
+use godwitreel::id;
+use godwitreel::reason::Reason;
+use godwitreel::request;
+use godwitreel::request::Flow;
+use tokio::time::Instant;
+
+const NO_LIMIT: usize = usize::MAX;
+
+fn flow(service: &str, port: u16) -> Flow {
+    Flow {
+        service: service.parse().expect("a service"),
+        caller: format!("127.0.0.1:{port}").parse().expect("an endpoint"),
+    }
+}
+
+fn note(reason: Reason, flow: &Flow) -> Note {
+    Note {
+        flow: Some(flow.clone()),
+        ..Note::new(reason)
+    }
+}
+
+#[test]
+fn traces_are_those_of_the_flow_newest_first() {
+    let ring = Ring::default();
+    let start = Instant::now();
+    let mine = flow("dispatch", 1);
+    let context = Context {
+        epoch: Some(id::Epoch(7)),
+        revision: Some(id::Revision(3)),
+    };
+    let answered = Note {
+        request: Some(request::Id(0xab)),
+        slice: Some(id::Slice(12)),
+        server: Some("d1".parse().expect("a server")),
+        elapsed: Some(Duration::from_millis(40)),
+        ..note(Reason::Answered, &mine)
+    };
+    ring.record(start, note(Reason::Forwarded, &mine), Context::default());
+    ring.record(start, note(Reason::Forwarded, &flow("ledger", 1)), context);
+    ring.record(
+        start,
+        note(Reason::Forwarded, &flow("dispatch", 2)),
+        context,
+    );
+    ring.record(start + Duration::from_millis(40), answered, context);
+
+    let traces = ring.traces(start + Duration::from_millis(100), &mine);
+
+    assert_eq!(traces.len(), 2);
+    assert_eq!(traces[0].reason, "answered");
+    assert_eq!(traces[0].age_ms, 60);
+    assert_eq!(traces[0].service, "dispatch");
+    assert_eq!(traces[0].caller, "127.0.0.1:1");
+    assert_eq!(traces[0].request.as_deref(), Some("ab"));
+    assert_eq!(traces[0].slice, Some(12));
+    assert_eq!(traces[0].epoch, Some(7));
+    assert_eq!(traces[0].revision, Some(3));
+    assert_eq!(traces[0].server.as_deref(), Some("d1"));
+    assert_eq!(traces[0].elapsed_ms, Some(40));
+    assert_eq!(traces[1].reason, "forwarded");
+    assert_eq!(traces[1].age_ms, 100);
+    assert_eq!(traces[1].epoch, None);
+}
+
+#[test]
+fn the_oldest_go_first_when_there_are_too_many() {
+    let ring = Ring::new(2, NO_LIMIT);
+    let now = Instant::now();
+    let mine = flow("dispatch", 1);
+    for reason in [Reason::Claimed, Reason::Forwarded, Reason::Answered] {
+        ring.record(now, note(reason, &mine), Context::default());
+    }
+
+    let reasons: Vec<String> = ring
+        .traces(now, &mine)
+        .into_iter()
+        .map(|trace| trace.reason)
+        .collect();
+
+    assert_eq!(reasons, ["answered", "forwarded"]);
+}
+
+#[test]
+fn bytes_are_bounded_and_given_back() {
+    let now = Instant::now();
+    let mine = flow("dispatch", 1);
+    let single = Ring::default();
+    single.record(now, note(Reason::Answered, &mine), Context::default());
+    let size = single.bytes();
+    let ring = Ring::new(NO_LIMIT, 3 * size);
+    for _ in 0..10 {
+        ring.record(now, note(Reason::Answered, &mine), Context::default());
+    }
+    assert_eq!(ring.len(), 3);
+    assert_eq!(ring.bytes(), 3 * size);
+
+    let tight = Ring::new(NO_LIMIT, size - 1);
+    tight.record(now, note(Reason::Answered, &mine), Context::default());
+    assert!(tight.is_empty());
+    assert_eq!(tight.bytes(), 0);
+}
+
+#[test]
+fn notes_without_a_flow_are_left_out() {
+    let ring = Ring::default();
+    ring.record(
+        Instant::now(),
+        Note::new(Reason::HomeGained),
+        Context::default(),
+    );
+    assert!(ring.is_empty());
+}
+
+#[test]
+fn many_threads_record_and_ask_at_once() {
+    let ring = Arc::new(Ring::new(1_500, NO_LIMIT));
+    let now = Instant::now();
+    let mine = flow("dispatch", 1);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                for _ in 0..500 {
+                    ring.record(now, note(Reason::Answered, &mine), Context::default());
+                    ring.traces(now, &mine);
+                }
+            });
+        }
+    });
+    assert_eq!(ring.len(), 1_500);
+    assert_eq!(ring.traces(now, &mine).len(), MAX_TRACES);
+}
--- /dev/null
+++ b/tests/metric.rs
@@ -0,0 +1,141 @@
+//! The metrics as they are scraped.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use godwitreel::action::Note;
+use godwitreel::metric::Direction;
+use godwitreel::metric::Levels;
+use godwitreel::metric::MAX_SERVICES;
+use godwitreel::metric::Metrics;
+use godwitreel::metric::NAMES;
+use godwitreel::platform;
+use godwitreel::reason::Reason;
+use godwitreel::request::Flow;
+
+fn client() -> platform::Client {
+    let base = "http://127.0.0.1:9".parse().expect("an address");
+    platform::Client::new(vec![base], platform::Options::default()).expect("a client")
+}
+
+fn answered(service: &str, elapsed: Duration) -> Note {
+    Note {
+        flow: Some(Flow {
+            service: service.parse().expect("a service"),
+            caller: "127.0.0.1:1".parse().expect("an endpoint"),
+        }),
+        elapsed: Some(elapsed),
+        ..Note::new(Reason::Answered)
+    }
+}
+
+fn has(text: &str, line: &str) {
+    assert!(text.lines().any(|l| l == line), "no {line:?} in\n{text}");
+}
+
+#[test]
+fn every_reason_starts_at_zero() {
+    let text = Metrics::new(client()).encode();
+    for reason in Reason::ALL {
+        has(
+            &text,
+            &format!(r#"godwitreel_events_total{{reason="{reason}",service=""}} 0"#),
+        );
+    }
+    assert!(text.ends_with("# EOF\n"));
+}
+
+#[test]
+fn counts_and_gauges_are_exact() {
+    let client = client();
+    client.counts().writes.fetch_add(3, Ordering::Relaxed);
+    client.counts().stale.fetch_add(2, Ordering::Relaxed);
+    let metrics = Metrics::new(client);
+    metrics.note(&answered("dispatch", Duration::from_millis(15)));
+    metrics.note(&answered("dispatch", Duration::from_millis(500)));
+    metrics.note(&Note::new(Reason::HomeGained));
+    metrics.peer_message("heartbeat", Direction::Sent, 120);
+    metrics.peer_message("heartbeat", Direction::Sent, 30);
+    metrics.peer_message("relay", Direction::Received, 900);
+    metrics.set(&Levels {
+        homes: 128,
+        backups: 127,
+        alone: 1,
+        in_progress: 9,
+        feeds: 1_000,
+        parked: 4,
+        ready: true,
+    });
+
+    let text = metrics.encode();
+
+    for line in [
+        r#"godwitreel_events_total{reason="answered",service="dispatch"} 2"#,
+        r#"godwitreel_events_total{reason="home_gained",service=""} 1"#,
+        r#"godwitreel_peer_messages_total{kind="heartbeat",direction="sent"} 2"#,
+        r#"godwitreel_peer_bytes_total{kind="heartbeat",direction="sent"} 150"#,
+        r#"godwitreel_peer_bytes_total{kind="relay",direction="received"} 900"#,
+        r#"godwitreel_platform_calls_total{kind="write"} 3"#,
+        r#"godwitreel_platform_calls_total{kind="read"} 0"#,
+        r#"godwitreel_platform_failures_total{kind="stale"} 2"#,
+        "godwitreel_home_slices 128",
+        "godwitreel_backup_slices 127",
+        "godwitreel_alone_slices 1",
+        "godwitreel_in_progress_requests 9",
+        "godwitreel_open_feeds 1000",
+        "godwitreel_parked_requests 4",
+        "godwitreel_ready 1",
+        r#"godwitreel_request_duration_seconds_count{service="dispatch"} 2"#,
+        r#"godwitreel_request_duration_seconds_bucket{le="0.01",service="dispatch"} 0"#,
+        r#"godwitreel_request_duration_seconds_bucket{le="0.02",service="dispatch"} 1"#,
+        r#"godwitreel_request_duration_seconds_bucket{le="0.5",service="dispatch"} 2"#,
+        "# UNIT godwitreel_peer_bytes bytes",
+    ] {
+        has(&text, line);
+    }
+}
+
+#[test]
+fn the_names_are_those_that_are_scraped() {
+    let metrics = Metrics::new(client());
+    metrics.note(&answered("dispatch", Duration::from_millis(1)));
+    metrics.peer_message("pull", Direction::Sent, 1);
+    let text = metrics.encode();
+
+    let scraped: BTreeSet<String> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split_once(' '))
+        .map(|(name, kind)| match kind {
+            "counter" => format!("{name}_total"),
+            _ => name.to_owned(),
+        })
+        .collect();
+    let named: BTreeSet<String> = NAMES.iter().map(|(name, _)| (*name).to_owned()).collect();
+
+    assert_eq!(scraped, named);
+}
+
+#[test]
+fn services_past_the_bound_share_a_label() {
+    let metrics = Metrics::new(client());
+    for number in 0..MAX_SERVICES + 5 {
+        metrics.note(&answered(
+            &format!("service-{number}"),
+            Duration::from_millis(1),
+        ));
+    }
+    metrics.note(&answered("service-0", Duration::from_millis(1)));
+
+    let text = metrics.encode();
+
+    has(
+        &text,
+        r#"godwitreel_events_total{reason="answered",service="(other)"} 5"#,
+    );
+    has(
+        &text,
+        r#"godwitreel_events_total{reason="answered",service="service-0"} 2"#,
+    );
+}
