--- /dev/null
+++ b/standin/tests/server.rs
@@ -0,0 +1,273 @@
+//! What the backend server does with requests, feeds, blocks and faults.
+
+mod support;
+
+use std::time::Duration;
+
+use coap_lite::CoapOption;
+use coap_lite::MessageClass;
+use coap_lite::MessageType;
+use coap_lite::Packet;
+use coap_lite::RequestType;
+use coap_lite::ResponseType;
+use coap_lite::option_value::OptionValueU32;
+use futures::future;
+use standin::caller;
+use standin::caller::Caller;
+use standin::caller::Outcome;
+use standin::caller::Update;
+use standin::server;
+use standin::server::Handle;
+use standin::server::Settings;
+use support::PATIENCE;
+use support::ask;
+use support::until;
+use tokio::net::UdpSocket;
+use tokio::time;
+use tokio::time::Instant;
+
+/// Long enough for a datagram on loopback that should not come.
+const SILENCE: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(20);
+
+async fn start(change: impl FnOnce(&mut Settings)) -> (Handle, Caller) {
+    let mut settings = Settings::new("d1", "dispatch");
+    settings.notify_interval = TICK;
+    change(&mut settings);
+    let server = server::start(settings).await.expect("the server starts");
+    let settings = caller::Settings::new(server.address());
+    let caller = caller::start(settings).await.expect("the caller starts");
+    (server, caller)
+}
+
+fn code(outcome: &Outcome) -> Option<ResponseType> {
+    match outcome {
+        Outcome::Answered { code, .. } => Some(*code),
+        _ => None,
+    }
+}
+
+fn refused() -> Outcome {
+    let retry_after = Duration::from_secs(2);
+    Outcome::NotRun { retry_after }
+}
+
+#[tokio::test]
+async fn slots_bound_what_runs_and_the_queue_what_waits() {
+    let (server, caller) = start(|settings| {
+        settings.slots = 2;
+        settings.queue = 3;
+        settings.service_time = SILENCE;
+    })
+    .await;
+    // All are sent before the first is read, so that none finds a slot free again.
+    server.freeze(true);
+    let mut exchanges = Vec::new();
+    for n in 0..7 {
+        let id = format!("p-{n}");
+        exchanges.push(caller.begin(RequestType::Post, "/x", id).await);
+    }
+    server.freeze(false);
+    let outcomes = exchanges.iter_mut().map(|one| one.outcome(PATIENCE));
+    let outcomes = future::join_all(outcomes).await;
+
+    let ran = outcomes.iter().filter(|outcome| code(outcome).is_some());
+    assert_eq!(ran.count(), 5);
+    let shed = outcomes.iter().filter(|outcome| **outcome == refused());
+    assert_eq!(shed.count(), 2);
+    assert_eq!(server.peak(), 2);
+    assert_eq!(server.all_starts().len(), 5);
+    assert_eq!(server.outstanding(), 0);
+}
+
+#[tokio::test]
+async fn every_copy_of_a_request_starts() {
+    let (server, caller) = start(|_| {}).await;
+    let mut exchange = caller.begin(RequestType::Post, "/x", "p-1").await;
+    exchange.outcome(PATIENCE).await;
+    caller.send_copy(&exchange.datagram(), None).await;
+    let again = exchange.outcome(PATIENCE).await;
+    assert_eq!(code(&again), Some(ResponseType::Created));
+    assert_eq!(server.starts("p-1"), 2);
+}
+
+#[tokio::test]
+async fn a_slow_request_is_answered_apart() {
+    // The first retransmission would come long before the answer, were there
+    // no empty acknowledgement; a second start would show it.
+    let (server, _) = start(|settings| settings.service_time = SILENCE * 8).await;
+    let mut settings = caller::Settings::new(server.address());
+    settings.ack_timeout = SILENCE * 3;
+    let caller = caller::start(settings).await.expect("the caller starts");
+    let outcome = caller
+        .request(RequestType::Put, "/x", "p-1", PATIENCE)
+        .await;
+    assert_eq!(code(&outcome), Some(ResponseType::Changed));
+    assert_eq!(server.starts("p-1"), 1);
+}
+
+#[tokio::test]
+async fn a_request_past_its_deadline_does_not_start() {
+    let (server, caller) = start(|settings| {
+        settings.slots = 1;
+        settings.service_time = SILENCE * 5;
+    })
+    .await;
+    let mut first = caller.begin(RequestType::Post, "/x", "p-1").await;
+    until("the slot is taken", || server.starts("p-1") == 1).await;
+
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Request(RequestType::Post);
+    packet.header.set_type(MessageType::NonConfirmable);
+    let deadline = CoapOption::Unknown(server::DEADLINE_OPTION);
+    packet.add_option_as(deadline, OptionValueU32(20));
+    packet.payload = b"p-2".to_vec();
+    let socket = UdpSocket::bind(support::any_port())
+        .await
+        .expect("a socket");
+    let datagram = packet.to_bytes().expect("a datagram");
+    let sent = socket.send_to(&datagram, server.address()).await;
+    sent.expect("it is sent");
+    let mut buffer = [0; 100];
+    let size = time::timeout(PATIENCE, socket.recv(&mut buffer)).await;
+    let size = size.expect("an answer").expect("an answer");
+    let answer = Packet::from_bytes(&buffer[..size]).expect("a message");
+
+    let unavailable = MessageClass::Response(ResponseType::ServiceUnavailable);
+    assert_eq!(answer.header.code, unavailable);
+    assert!(code(&first.outcome(PATIENCE).await).is_some());
+    assert_eq!(server.starts("p-2"), 0);
+}
+
+#[tokio::test]
+async fn a_draining_server_keeps_its_feeds_and_refuses_the_rest() {
+    let (server, caller) = start(|_| {}).await;
+    let mut feed = caller.observe("/x", PATIENCE).await.expect("a feed");
+    server.drain(true);
+    let since = Instant::now();
+
+    let outcome = caller
+        .request(RequestType::Post, "/x", "p-1", PATIENCE)
+        .await;
+    assert_eq!(outcome, refused());
+    assert_eq!(server.starts("p-1"), 0);
+    assert_eq!(caller.observe("/x", PATIENCE).await.err(), Some(refused()));
+    feed.renew().await;
+    for _ in 0..3 {
+        let update = feed.next(PATIENCE).await;
+        assert!(matches!(update, Update::Notification { .. }), "{update:?}");
+    }
+    let seen = server.seen_since(since);
+    assert_eq!(seen.iter().filter(|seen| seen.fresh).count(), 2);
+    assert_eq!(feed.missed(), 0);
+    let health = ask(server.health_address(), "GET", "/health", "").await;
+    assert_eq!(health.expect("an answer")["state"], "draining");
+}
+
+#[tokio::test]
+async fn a_forgotten_feed_goes_silent_until_it_is_renewed() {
+    let (server, caller) = start(|_| {}).await;
+    let mut feed = caller.observe("/x", PATIENCE).await.expect("a feed");
+    server.forget();
+    let mut left = 100;
+    while feed.next(SILENCE).await != Update::Silent {
+        left -= 1;
+        assert!(left > 0, "the feed goes on");
+    }
+    feed.renew().await;
+    let update = feed.next(PATIENCE).await;
+    assert!(matches!(update, Update::Notification { .. }), "{update:?}");
+}
+
+#[tokio::test]
+async fn a_reset_ends_a_feed() {
+    let (server, caller) = start(|_| {}).await;
+    let feed = caller.observe("/x", PATIENCE).await.expect("a feed");
+    assert_eq!(server.observers(), 1);
+    // The next notification belongs to no exchange and is rejected.
+    drop(feed);
+    until("the observer is gone", || server.observers() == 0).await;
+}
+
+#[tokio::test]
+async fn bodies_pass_in_blocks() {
+    let (server, caller) = start(|_| {}).await;
+    let body = "sheet ".repeat(500);
+    let mut upload = caller.upload(RequestType::Put, "/x", body.clone(), 256);
+    assert_eq!(upload.step(PATIENCE).await, None);
+    assert_eq!(server.starts(&body), 0);
+    let outcome = upload.finish(PATIENCE).await;
+    assert_eq!(code(&outcome), Some(ResponseType::Changed));
+    assert_eq!(server.starts(&body), 1);
+
+    let outcome = caller.download(server::LARGE_PATH).finish(PATIENCE).await;
+    let Outcome::Answered { payload, .. } = outcome else {
+        panic!("not answered: {outcome:?}");
+    };
+    assert_eq!(payload.len(), server::LARGE_SIZE);
+    let pattern = b"server=d1,path=/large".iter().cycle();
+    assert!(payload.iter().eq(pattern.take(server::LARGE_SIZE)));
+}
+
+#[tokio::test]
+async fn an_upload_without_its_first_blocks_is_incomplete() {
+    let (server, caller) = start(|_| {}).await;
+    let mut upload = caller.upload(RequestType::Put, "/x", vec![b'x'; 600], 256);
+    assert_eq!(upload.step(PATIENCE).await, None);
+    // A restarted server has nothing of the body.
+    let address = server.address();
+    server.stop().await;
+    let mut settings = Settings::new("d1", "dispatch");
+    settings.bind = address;
+    let server = server::start(settings).await.expect("the server restarts");
+    let outcome = upload.finish(PATIENCE).await;
+    let incomplete = ResponseType::RequestEntityIncomplete;
+    assert_eq!(code(&outcome), Some(incomplete));
+    assert!(server.all_starts().is_empty());
+}
+
+#[tokio::test]
+async fn a_request_for_another_service_is_counted() {
+    let (server, _) = start(|_| {}).await;
+    let mut settings = caller::Settings::new(server.address());
+    settings.host = Some("ledger".to_owned());
+    let caller = caller::start(settings).await.expect("the caller starts");
+    let outcome = caller
+        .request(RequestType::Post, "/x", "p-1", PATIENCE)
+        .await;
+    assert_eq!(code(&outcome), Some(ResponseType::NotFound));
+    assert_eq!(server.wrong_service(), 1);
+    assert_eq!(server.starts("p-1"), 0);
+}
+
+#[tokio::test]
+async fn a_frozen_server_is_silent_and_goes_on_afterwards() {
+    let (server, caller) = start(|_| {}).await;
+    server.freeze(true);
+    let mut exchange = caller.begin(RequestType::Post, "/x", "p-1").await;
+    assert_eq!(exchange.outcome(SILENCE).await, Outcome::Silent);
+    assert_eq!(server.starts("p-1"), 0);
+    server.freeze(false);
+    let outcome = exchange.outcome(PATIENCE).await;
+    assert_eq!(code(&outcome), Some(ResponseType::Created));
+}
+
+#[tokio::test]
+async fn health_tells_the_truth_lies_and_fails() {
+    let (server, _) = start(|_| {}).await;
+    let health = async || ask(server.health_address(), "GET", "/health", "").await;
+    let truth = serde_json::json!({
+        "service": "dispatch", "server": "d1", "state": "up", "outstanding": 0, "slots": 2
+    });
+    assert_eq!(health().await, Some(truth));
+    server.lie(server::Lies {
+        outstanding: Some(9),
+        service: Some("ledger".to_owned()),
+        state: None,
+    });
+    let lie = health().await.expect("an answer");
+    assert_eq!(lie["outstanding"], 9);
+    assert_eq!(lie["service"], "ledger");
+    server.health_down(true);
+    assert_eq!(health().await, None);
+}
