--- a/src/action.rs
+++ b/src/action.rs
@@ -119,6 +119,10 @@
     pub request: Option<request::Id>,
     /// In which slice.
     pub slice: Option<id::Slice>,
+    /// Under which epoch of the slice.
+    pub epoch: Option<id::Epoch>,
+    /// Under which revision of the profile.
+    pub revision: Option<id::Revision>,
     /// By which server.
     pub server: Option<id::Server>,
     /// How long it took, where that is known.
@@ -133,6 +137,8 @@
             flow: None,
             request: None,
             slice: None,
+            epoch: None,
+            revision: None,
             server: None,
             elapsed: None,
         }
--- /dev/null
+++ b/src/bin/godwitreeld/main.rs
@@ -0,0 +1,93 @@
+//! The daemon: reads its settings, runs one entry instance, stops on a signal.
+//!
+//! Exit codes: 0 after a graceful stop that cut nothing, 1 when the settings are
+//! refused or an address cannot be bound, 2 when requests were cut off.
+
+mod app;
+
+use std::process::ExitCode;
+
+use godwitreel::Result;
+use godwitreel::daemon;
+use godwitreel::log;
+use godwitreel::settings;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+const REFUSED: u8 = 1;
+const CUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = app::arguments().run();
+    let settings = match settings::Daemon::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    if arguments.check {
+        println!("{}: settings are in order", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let log = log::logger(&settings.log);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return refuse(&error),
+    };
+    match runtime.block_on(run(settings, log)) {
+        Ok(stopped) if stopped.cut == 0 => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(CUT),
+        Err(error) => refuse(&error),
+    }
+}
+
+fn refuse(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("godwitreeld: {error}");
+    ExitCode::from(REFUSED)
+}
+
+async fn run(settings: settings::Daemon, log: Logger) -> Result<daemon::Stopped> {
+    let mut signals = Signals::new()?;
+    let handle = daemon::start(settings, log.clone()).await?;
+    info!(log, "running");
+    signals.next().await;
+    let in_progress = handle.in_progress();
+    tokio::select! {
+        stopped = handle.stop() => Ok(stopped),
+        () = signals.next() => {
+            warn!(log, "second signal: ending at once"; "cut" => in_progress);
+            Ok(daemon::Stopped { cut: in_progress, kept: 0 })
+        }
+    }
+}
+
+/// The signals that stop the daemon.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        let listen = |kind| {
+            signal(kind).map_err(|source| godwitreel::Error::Io {
+                step: "signals",
+                peer: "system".to_owned(),
+                source,
+            })
+        };
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -183,6 +183,11 @@
         self.records
     }
 
+    /// Requests that wait for a home.
+    pub fn parked(&self) -> usize {
+        self.park.len()
+    }
+
     /// Whether a slice belongs to this worker.
     fn owns(&self, slice: id::Slice) -> bool {
         slice.0 % u32::from(self.settings.workers) == u32::from(self.settings.worker)
@@ -205,19 +210,26 @@
     }
 
     fn note_flow(&mut self, reason: Reason, slice: id::Slice, flow: &Flow) {
-        self.out.push(Action::Note(Note {
-            flow: Some(flow.clone()),
-            slice: Some(slice),
-            ..Note::new(reason)
-        }));
+        let note = self.flow_note(reason, slice, flow);
+        self.out.push(Action::Note(note));
     }
 
     fn note_request(&mut self, reason: Reason, slice: id::Slice, key: &Key) {
-        self.out.push(Action::Note(Note {
-            flow: Some(key.flow.clone()),
+        let note = Note {
             request: Some(key.id),
+            ..self.flow_note(reason, slice, &key.flow)
+        };
+        self.out.push(Action::Note(note));
+    }
+
+    fn flow_note(&self, reason: Reason, slice: id::Slice, flow: &Flow) -> Note {
+        let service = self.snapshot.services.get(&flow.service);
+        Note {
+            flow: Some(flow.clone()),
             slice: Some(slice),
+            epoch: Some(self.table.row(slice).epoch),
+            revision: service.map(|service| service.revision),
             ..Note::new(reason)
-        }));
+        }
     }
 }
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -566,13 +566,12 @@
         server: &Server,
         elapsed: Option<Duration>,
     ) {
-        self.out.push(Action::Note(Note {
-            flow: Some(key.flow.clone()),
+        let note = Note {
             request: Some(key.id),
-            slice: Some(slice),
             server: Some(server.id.clone()),
             elapsed,
-            ..Note::new(reason)
-        }));
+            ..self.flow_note(reason, slice, &key.flow)
+        };
+        self.out.push(Action::Note(note));
     }
 }
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,73 @@
+//! The status port: readiness, status, metrics, explain.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::response::IntoResponse;
+use axum::routing::get;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use crate::id;
+use crate::metric;
+use crate::request::Flow;
+use crate::shared::Shared;
+
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+type Instance = State<Arc<Shared>>;
+
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/status", get(status))
+        .route("/ready", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/explain", get(explain))
+        .with_state(shared)
+}
+
+async fn status(State(shared): Instance) -> impl IntoResponse {
+    Json(shared.status(Instant::now()))
+}
+
+async fn ready(State(shared): Instance) -> StatusCode {
+    if shared.ready.load(Ordering::Relaxed) {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn metrics(State(shared): Instance) -> impl IntoResponse {
+    let (homes, backups, alone) = shared.control().holdings();
+    shared.metrics.set(&metric::Levels {
+        homes,
+        backups,
+        alone,
+        in_progress: shared.pool.sum(|gauge| &gauge.in_progress),
+        feeds: shared.pool.sum(|gauge| &gauge.feeds),
+        parked: shared.pool.sum(|gauge| &gauge.parked),
+        ready: shared.ready.load(Ordering::Relaxed),
+    });
+    ([(CONTENT_TYPE, OPEN_METRICS)], shared.metrics.encode())
+}
+
+#[derive(Deserialize)]
+struct Asked {
+    service: id::Service,
+    caller: id::Endpoint,
+}
+
+async fn explain(State(shared): Instance, Query(asked): Query<Asked>) -> impl IntoResponse {
+    let flow = Flow {
+        service: asked.service,
+        caller: asked.caller,
+    };
+    Json(shared.ring.traces(Instant::now(), &flow))
+}
--- a/src/link.rs
+++ b/src/link.rs
@@ -3,7 +3,6 @@
 //! One UDP socket carries single messages. The TCP port of the same number
 //! serves copies of the configuration to peers that are behind.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
@@ -26,6 +25,8 @@
 use crate::error::Result;
 use crate::id;
 use crate::member::View;
+use crate::metric::Direction;
+use crate::metric::Metrics;
 use crate::peer::Body;
 use crate::peer::Entry;
 use crate::peer::Pull;
@@ -40,27 +41,9 @@
 /// Time for one exchange of configuration with a peer.
 const PULL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Bytes and messages of one kind in one direction.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Traffic {
-    /// Frames.
-    pub messages: u64,
-    /// Bytes of the frames, without the headers of UDP and IP.
-    pub bytes: u64,
-}
-
-/// Traffic by kind; sent and received.
-#[derive(Clone, Debug, Default)]
-pub struct Tally {
-    /// What was sent.
-    pub sent: BTreeMap<&'static str, Traffic>,
-    /// What was received.
-    pub received: BTreeMap<&'static str, Traffic>,
-}
-
 /// The sending side, shared by workers and control task.
 ///
-/// Lock order: `addresses` before `tally`; neither is held while sending.
+/// Lock order: `addresses` and `guard` are leaves, not held while sending.
 #[derive(Debug)]
 pub(crate) struct Link {
     me: id::Holder,
@@ -69,11 +52,16 @@
     sequence: AtomicU64,
     addresses: RwLock<HashMap<id::Holder, SocketAddr>>,
     guard: Mutex<Guard>,
-    tally: Mutex<Tally>,
+    metrics: Arc<Metrics>,
 }
 
 impl Link {
-    pub(crate) fn new(me: id::Holder, keys: Keys, socket: UdpSocket) -> Self {
+    pub(crate) fn new(
+        me: id::Holder,
+        keys: Keys,
+        socket: UdpSocket,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             me,
             keys,
@@ -81,7 +69,7 @@
             sequence: AtomicU64::new(0),
             addresses: RwLock::default(),
             guard: Mutex::default(),
-            tally: Mutex::default(),
+            metrics,
         }
     }
 
@@ -109,7 +97,8 @@
     pub(crate) fn send_to(&self, address: SocketAddr, to: &str, body: Body) {
         let kind = body.kind();
         let frame = self.seal(to, body);
-        self.count(kind, frame.len(), true);
+        self.metrics
+            .peer_message(kind, Direction::Sent, frame.len());
         // A datagram that cannot be sent is like one that is lost on the way.
         let _ = self.socket.send_to(&frame, address);
     }
@@ -136,35 +125,19 @@
             });
         }
         drop(guard);
-        self.count(opened.body.kind(), frame.len(), false);
+        self.metrics
+            .peer_message(opened.body.kind(), Direction::Received, frame.len());
         Ok(opened)
     }
 
-    fn count(&self, kind: &'static str, bytes: usize, sent: bool) {
-        let mut tally = self.tally.lock().unwrap_or_else(|lock| lock.into_inner());
-        let side = if sent {
-            &mut tally.sent
-        } else {
-            &mut tally.received
-        };
-        let traffic = side.entry(kind).or_default();
-        traffic.messages += 1;
-        traffic.bytes += bytes as u64;
-    }
-
-    /// Traffic so far.
-    pub(crate) fn tally(&self) -> Tally {
-        let tally = self.tally.lock().unwrap_or_else(|lock| lock.into_inner());
-        tally.clone()
-    }
-
     /// Asks a peer for everything newer than what is here.
     pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Vec<Entry>> {
         let exchange = async {
             let stream = TcpStream::connect(peer).await.map_err(|e| io(peer, e))?;
             let mut framed = framed(stream);
             let frame = self.seal("", Body::Pull(have));
-            self.count("pull", frame.len(), true);
+            self.metrics
+                .peer_message("pull", Direction::Sent, frame.len());
             framed
                 .send(Bytes::from(frame))
                 .await
@@ -205,7 +178,8 @@
                 entries: entries(pull),
             };
             let answer = self.seal(frame.from.instance.as_str(), Body::Push(push));
-            self.count("push", answer.len(), true);
+            self.metrics
+                .peer_message("push", Direction::Sent, answer.len());
             framed
                 .send(Bytes::from(answer))
                 .await
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -151,6 +151,12 @@
     /// a service that is not named is bound at its public address.
     #[serde(default)]
     pub listeners: BTreeMap<id::Service, id::Endpoint>,
+    /// Peers to ask for the configuration when the platform is down at the start.
+    #[serde(default)]
+    pub seeds: Vec<id::Endpoint>,
+    /// Makes the hash of flows to slices unpredictable; the same at all instances.
+    #[serde(default)]
+    pub hash_key: u64,
     /// IP address bound for sockets toward backend servers.
     #[serde(default = "default_backend_bind")]
     pub backend_bind: IpAddr,
--- /dev/null
+++ b/src/shared.rs
@@ -0,0 +1,157 @@
+//! What the tasks of one daemon share.
+//!
+//! Lock order: `config`, then `control`; each is held for a lookup or one change,
+//! never across an await. Server states and the outlet's listeners are leaves.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use slog::Logger;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::Config;
+use crate::control::Control;
+use crate::explain;
+use crate::id;
+use crate::link::Link;
+use crate::metric::Metrics;
+use crate::settings;
+use crate::status;
+use crate::worker::Outlet;
+use crate::worker::Pool;
+
+/// State of one daemon.
+pub(crate) struct Shared {
+    pub(crate) settings: settings::Daemon,
+    pub(crate) me: id::Holder,
+    pub(crate) log: Logger,
+    pub(crate) pool: Pool,
+    pub(crate) outlet: Arc<Outlet>,
+    pub(crate) link: Arc<Link>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) ring: Arc<explain::Ring>,
+    pub(crate) ready: AtomicBool,
+    closing: CancellationToken,
+    config: Mutex<Config>,
+    control: Mutex<Control>,
+}
+
+/// Parts that are made before the rest.
+pub(crate) struct Parts {
+    pub(crate) settings: settings::Daemon,
+    pub(crate) me: id::Holder,
+    pub(crate) log: Logger,
+    pub(crate) pool: Pool,
+    pub(crate) outlet: Arc<Outlet>,
+    pub(crate) link: Arc<Link>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) ring: Arc<explain::Ring>,
+    pub(crate) control: Control,
+}
+
+impl Shared {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
+            settings: parts.settings,
+            me: parts.me,
+            log: parts.log,
+            pool: parts.pool,
+            outlet: parts.outlet,
+            link: parts.link,
+            metrics: parts.metrics,
+            ring: parts.ring,
+            ready: AtomicBool::new(false),
+            closing: CancellationToken::new(),
+            config: Mutex::default(),
+            control: Mutex::new(parts.control),
+        }
+    }
+
+    /// Starts a task that ends with the daemon.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let closing = self.closing.clone();
+        tokio::spawn(async move {
+            let _ = closing.run_until_cancelled(task).await;
+        });
+    }
+
+    /// Ends all tasks.
+    pub(crate) fn close(&self) {
+        self.closing.cancel();
+    }
+
+    pub(crate) fn config(&self) -> MutexGuard<'_, Config> {
+        self.config.lock().unwrap_or_else(|lock| lock.into_inner())
+    }
+
+    pub(crate) fn control(&self) -> MutexGuard<'_, Control> {
+        self.control.lock().unwrap_or_else(|lock| lock.into_inner())
+    }
+
+    /// What `GET /status` answers.
+    pub(crate) fn status(&self, now: Instant) -> status::Status {
+        let (revisions, refused, servers) = self.configured(now);
+        let control = self.control();
+        let (homes, backups, alone) = control.holdings();
+        let silent = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let peers = control
+            .peers()
+            .into_iter()
+            .map(|(member, heard)| status::Peer {
+                live: control.is_live(now, &member.holder),
+                holder: member.holder,
+                zone: member.zone,
+                leaving: member.leaving,
+                silent_ms: heard.map_or(u64::MAX, silent),
+            });
+        status::Status {
+            holder: self.me.clone(),
+            zone: self.settings.zone.clone(),
+            ready: self.ready.load(Ordering::Relaxed),
+            leaving: control.is_leaving(),
+            platform_silent_ms: control.last_contact().map(silent),
+            revisions,
+            refused,
+            homes,
+            backups,
+            alone,
+            in_progress: self.pool.sum(|gauge| &gauge.in_progress),
+            feeds: self.pool.sum(|gauge| &gauge.feeds),
+            peers: peers.collect(),
+            servers,
+        }
+    }
+
+    fn configured(
+        &self,
+        now: Instant,
+    ) -> (
+        BTreeMap<String, id::Revision>,
+        BTreeMap<String, String>,
+        Vec<status::Server>,
+    ) {
+        let config = self.config();
+        let servers = config.servers().map(|server| {
+            let state = server.state();
+            status::Server {
+                id: server.id.clone(),
+                service: server.service.clone(),
+                zone: server.zone.clone(),
+                takes_work: state.takes_work(now),
+                leaving: state.is_leaving(),
+                outstanding: state.outstanding,
+                feeds: state.feeds,
+            }
+        });
+        (
+            config.revisions(),
+            config.refused().clone(),
+            servers.collect(),
+        )
+    }
+}
--- /dev/null
+++ b/src/steer.rs
@@ -0,0 +1,481 @@
+//! The control task: feeds the planner and carries out what it asks for.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+
+use crate::config::OURS;
+use crate::config::SERVERS;
+use crate::control::Command;
+use crate::control::INSTANCES;
+use crate::control::Registration;
+use crate::control::SLICES;
+use crate::control::Written;
+use crate::edge;
+use crate::event::Event;
+use crate::id;
+use crate::peer;
+use crate::peer::Body;
+use crate::platform;
+use crate::platform::Change;
+use crate::platform::Client;
+use crate::platform::Entry;
+use crate::platform::Resolved;
+use crate::platform::Update;
+use crate::shared::Shared;
+use crate::table::Document;
+use crate::table::Row;
+
+/// Time between two looks of the planner.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+
+/// How long a peer's copy may differ before it is asked for what is newer. A
+/// change that the platform is just telling everyone needs no copy.
+const DIFFER_FOR: Duration = Duration::from_secs(2);
+
+/// Servers in one heartbeat.
+const MAX_LOADS: usize = 32;
+
+/// What the control task is told.
+#[derive(Debug)]
+pub(crate) enum Told {
+    /// From the platform, about one prefix.
+    Platform(&'static str, Update),
+    /// A peer's sign of life.
+    Heartbeat {
+        from: id::Holder,
+        message: peer::Heartbeat,
+    },
+    /// A home wants its backup to take over.
+    Yield { from: id::Holder, slices: Vec<u32> },
+    /// A write of the slice table has ended.
+    Written { document: u32, written: Written },
+    /// A peer's copies.
+    Pulled(Vec<peer::Entry>),
+}
+
+/// The control task's own state, beside what is shared.
+pub(crate) struct Steer {
+    shared: Arc<Shared>,
+    client: Client,
+    told: UnboundedSender<Told>,
+    registration: watch::Sender<Registration>,
+    stopping: watch::Receiver<bool>,
+    loads: HashMap<id::Instance, Vec<peer::Load>>,
+    differs: BTreeMap<id::Instance, Instant>,
+    pulled: Option<Instant>,
+    changed: bool,
+}
+
+impl Steer {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        client: Client,
+        told: UnboundedSender<Told>,
+        registration: watch::Sender<Registration>,
+        stopping: watch::Receiver<bool>,
+    ) -> Self {
+        Self {
+            shared,
+            client,
+            told,
+            registration,
+            stopping,
+            loads: HashMap::new(),
+            differs: BTreeMap::new(),
+            pulled: None,
+            changed: true,
+        }
+    }
+
+    /// Runs until the daemon ends.
+    pub(crate) async fn run(
+        mut self,
+        mut told: UnboundedReceiver<Told>,
+        mut joined: UnboundedReceiver<crate::worker::Joined>,
+    ) {
+        let mut plan = tokio::time::interval(PLAN_EVERY);
+        plan.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut beat = tokio::time::interval(self.shared.settings.heartbeat());
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(told) = told.recv() => self.take(told),
+                Some(joined) = joined.recv() => {
+                    self.shared.control().joined(joined.slice, &joined.backup);
+                }
+                _ = plan.tick() => self.plan(),
+                _ = beat.tick() => self.beat(),
+            }
+        }
+    }
+
+    fn take(&mut self, told: Told) {
+        let now = Instant::now();
+        match told {
+            Told::Platform(prefix, update) => self.take_update(now, prefix, update),
+            Told::Heartbeat { from, message } => self.take_heartbeat(now, &from, message),
+            Told::Yield { from, slices } => self.shared.control().yielded(now, &from, &slices),
+            Told::Written { document, written } => {
+                self.shared.control().written(now, document, written);
+                self.plan();
+            }
+            Told::Pulled(entries) => {
+                for entry in entries {
+                    self.put(now, &unpack(entry));
+                }
+            }
+        }
+    }
+
+    fn take_update(&mut self, now: Instant, prefix: &str, update: Update) {
+        match update {
+            Update::Reset { entries, at, .. } => {
+                let keep: BTreeSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
+                self.shared.config().retain(prefix, &keep);
+                if prefix == OURS {
+                    self.shared.control().retain(&keep);
+                }
+                self.contact(prefix, at);
+                for entry in &entries {
+                    self.put(now, entry);
+                }
+                self.changed = true;
+            }
+            Update::Change(Change::Put(entry)) => self.put(now, &entry),
+            Update::Change(Change::Delete { key, .. }) => {
+                self.shared.config().remove(&key);
+                self.shared.control().remove(&key);
+                self.changed = true;
+            }
+            Update::Silent { .. } => {
+                if prefix == OURS {
+                    warn!(self.shared.log, "platform does not answer");
+                    self.shared.control().lose_contact();
+                }
+            }
+            Update::Contact { at } => self.contact(prefix, at),
+        }
+    }
+
+    fn contact(&self, prefix: &str, at: Instant) {
+        if prefix == OURS {
+            self.shared.control().contact(at);
+        }
+    }
+
+    fn put(&mut self, now: Instant, entry: &Entry) {
+        if !self.shared.config().put(entry) {
+            return;
+        }
+        if entry.key.starts_with(SLICES) || entry.key.starts_with(INSTANCES) {
+            self.shared.control().store(now, entry);
+        } else {
+            self.changed = true;
+        }
+    }
+
+    fn take_heartbeat(&mut self, now: Instant, from: &id::Holder, message: peer::Heartbeat) {
+        let new = self.shared.control().heartbeat(now, from, &message);
+        if new {
+            info!(self.shared.log, "peer is heard"; "peer" => %from);
+            // An instance that starts during an outage of the platform knows only
+            // its seeds: the answer tells it who else is there.
+            if let Ok(address) = message.address.parse::<id::Endpoint>() {
+                let heartbeat = self.heartbeat();
+                self.shared
+                    .link
+                    .send_to(address.0, from.instance.as_str(), heartbeat);
+            }
+        }
+        self.compare(now, from, &message);
+        self.loads.insert(from.instance.clone(), message.loads);
+        self.spread_loads(now);
+    }
+
+    /// Asks a peer for copies if it has had something else for a while.
+    fn compare(&mut self, now: Instant, from: &id::Holder, message: &peer::Heartbeat) {
+        if message.digest == self.shared.config().digest() {
+            self.differs.remove(&from.instance);
+            return;
+        }
+        let since = *self.differs.entry(from.instance.clone()).or_insert(now);
+        let never = self.shared.control().last_contact().is_none();
+        let recent = self.pulled.is_some_and(|pulled| now < pulled + DIFFER_FOR);
+        if recent || (!never && now < since + DIFFER_FOR) {
+            return;
+        }
+        let Ok(address) = message.address.parse::<id::Endpoint>() else {
+            return;
+        };
+        self.pulled = Some(now);
+        self.pull(address);
+    }
+
+    fn pull(&self, address: id::Endpoint) {
+        let have = self
+            .shared
+            .config()
+            .shared()
+            .map(|entry| peer::Version {
+                key: entry.key.clone(),
+                modified: entry.mod_revision,
+            })
+            .collect();
+        let link = Arc::clone(&self.shared.link);
+        let told = self.told.clone();
+        let log = self.shared.log.clone();
+        tokio::spawn(async move {
+            match link.pull(address.0, peer::Pull { have }).await {
+                Ok(entries) => {
+                    let _ = told.send(Told::Pulled(entries));
+                }
+                Err(error) => debug!(log, "no copies"; "error" => %error),
+            }
+        });
+    }
+
+    /// Adds up what the peers have at each server.
+    fn spread_loads(&self, now: Instant) {
+        let control = self.shared.control();
+        let live: BTreeSet<id::Instance> = control
+            .peers()
+            .into_iter()
+            .filter(|(member, _)| control.is_live(now, &member.holder))
+            .map(|(member, _)| member.holder.instance)
+            .collect();
+        drop(control);
+        let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
+        let heard = self.loads.iter().filter(|(peer, _)| live.contains(*peer));
+        for load in heard.flat_map(|(_, loads)| loads) {
+            let sum = sums.entry(load.server).or_default();
+            sum.0 += load.outstanding;
+            sum.1 += load.feeds;
+        }
+        for server in self.shared.config().servers() {
+            let sum = sums.get(&mark(&server.id)).copied().unwrap_or_default();
+            let mut state = server.state();
+            (state.elsewhere, state.feeds_elsewhere) = sum;
+        }
+    }
+
+    fn heartbeat(&self) -> Body {
+        let config = self.shared.config();
+        let loads = config.servers().filter_map(|server| {
+            let state = server.state();
+            let used = state.outstanding > 0 || state.feeds > 0;
+            used.then(|| peer::Load {
+                server: mark(&server.id),
+                outstanding: state.outstanding,
+                feeds: state.feeds,
+            })
+        });
+        Body::Heartbeat(peer::Heartbeat {
+            zone: self.shared.settings.zone.to_string(),
+            address: self.shared.settings.advertised().to_string(),
+            leaving: self.shared.control().is_leaving(),
+            digest: config.digest(),
+            loads: loads.take(MAX_LOADS).collect(),
+        })
+    }
+
+    fn beat(&mut self) {
+        let heartbeat = self.heartbeat();
+        let peers = self.shared.control().peers();
+        let link = &self.shared.link;
+        for (member, _) in &peers {
+            let name = member.holder.instance.as_str();
+            link.send_to(member.address.0, name, heartbeat.clone());
+        }
+        for seed in &self.shared.settings.seeds {
+            let known = peers.iter().any(|(member, _)| member.address == *seed);
+            if !known && *seed != self.shared.settings.advertised() {
+                link.send_to(seed.0, "", heartbeat.clone());
+            }
+        }
+    }
+
+    fn plan(&mut self) {
+        let now = Instant::now();
+        let drained = self.shared.config().is_drained(&self.shared.me.instance);
+        let leaving = drained || *self.stopping.borrow();
+        let was = self.shared.control().is_leaving();
+        self.shared.control().set_leaving(leaving);
+        if was != leaving {
+            info!(self.shared.log, "leaving changed"; "leaving" => leaving);
+            self.registration
+                .send_modify(|registration| registration.leaving = leaving);
+            self.beat();
+        }
+        if self.changed {
+            self.changed = false;
+            self.spread_config();
+        }
+        let commands = self.shared.control().tick(now);
+        for command in commands {
+            self.carry_out(command);
+        }
+        self.judge_ready(leaving);
+    }
+
+    fn judge_ready(&self, leaving: bool) {
+        let listening = self.shared.outlet.listeners.read();
+        let listening = listening.is_ok_and(|known| !known.is_empty());
+        let ready = listening && !leaving;
+        self.shared.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Gives a new configuration to the workers and binds new services.
+    fn spread_config(&mut self) {
+        let config = self.shared.config();
+        let snapshot = Arc::new(config.snapshot());
+        let addresses = config.addresses();
+        for (key, reason) in config.refused() {
+            warn!(self.shared.log, "document refused"; "key" => key, "reason" => reason);
+        }
+        drop(config);
+        self.shared.pool.tell(&Event::Snapshot(snapshot));
+        for (service, address) in addresses {
+            self.listen(service, address);
+        }
+    }
+
+    fn listen(&mut self, service: id::Service, public: id::Endpoint) {
+        let outlet = &self.shared.outlet;
+        let known = outlet.listeners.read();
+        if known.is_ok_and(|known| known.contains_key(&service)) {
+            return;
+        }
+        let local = self.shared.settings.listeners.get(&service);
+        let address = local.copied().unwrap_or(public);
+        let bound = edge::bind(address.0).and_then(|socket| {
+            edge::listen(Arc::clone(&self.shared), service.clone(), &socket)?;
+            Ok(socket)
+        });
+        match bound {
+            Ok(socket) => {
+                if let Ok(mut known) = outlet.listeners.write() {
+                    known.insert(service.clone(), Arc::new(socket));
+                }
+                info!(self.shared.log, "listening"; "service" => %service, "address" => %address);
+            }
+            Err(error) => {
+                // Tried again at the next look.
+                self.changed = true;
+                warn!(self.shared.log, "cannot listen"; "service" => %service, "error" => %error);
+            }
+        }
+    }
+
+    fn carry_out(&self, command: Command) {
+        let pool = &self.shared.pool;
+        match command {
+            Command::Write {
+                document,
+                expected,
+                rows,
+            } => self.write(document, expected, rows),
+            Command::Join { slices, backup } => {
+                for slice in slices {
+                    let event = Event::Join {
+                        slices: vec![slice],
+                        backup: backup.clone(),
+                    };
+                    pool.give(slice, event);
+                }
+            }
+            Command::Abandon(slices) => {
+                for slice in slices {
+                    pool.give(slice, Event::Abandon(vec![slice]));
+                }
+            }
+            Command::Yield { to, slices } => {
+                let slices = slices.into_iter().map(|slice| slice.0).collect();
+                let body = Body::Yield(peer::Yield { slices });
+                self.shared.link.send(&to, body);
+            }
+            Command::Table(table) => pool.tell(&Event::Table(table)),
+            Command::Members(view) => {
+                self.shared.link.learn(&view);
+                pool.tell(&Event::Members(view));
+            }
+        }
+    }
+
+    fn write(&self, document: u32, expected: Option<u64>, rows: Vec<Row>) {
+        let value = Document {
+            write_id: format!("{}-{:016x}", self.shared.me, rand::random::<u64>()),
+            rows,
+        };
+        let client = self.client.clone();
+        let told = self.told.clone();
+        let log = self.shared.log.clone();
+        tokio::spawn(async move {
+            let key = format!("{SLICES}{document}");
+            let value = serde_json::to_vec(&value).unwrap_or_default();
+            let resolved = client.swap_and_resolve(&key, expected, &value, None).await;
+            debug!(log, "slice table written"; "document" => document, "result" => ?resolved.as_ref().map(outcome));
+            let written = match resolved {
+                Ok(Resolved::Done(version)) => Written::Done(version),
+                Ok(Resolved::Lost(entry) | Resolved::Overtaken(entry)) => Written::Lost(entry),
+                Ok(Resolved::Unknown) => Written::Unknown,
+                Err(_) => Written::Lost(None),
+            };
+            let _ = told.send(Told::Written { document, written });
+        });
+    }
+}
+
+fn outcome(resolved: &Resolved) -> &'static str {
+    match resolved {
+        Resolved::Done(_) => "done",
+        Resolved::Lost(_) => "lost",
+        Resolved::Overtaken(_) => "overtaken",
+        Resolved::Unknown => "unknown",
+    }
+}
+
+/// Short mark of a server's name in heartbeats.
+fn mark(server: &id::Server) -> u32 {
+    let mut hasher = SipHasher13::new();
+    server.as_str().hash(&mut hasher);
+    hasher.finish() as u32
+}
+
+fn unpack(entry: peer::Entry) -> Entry {
+    Entry {
+        key: entry.key,
+        value: entry.value,
+        mod_revision: entry.modified,
+    }
+}
+
+/// Prefixes of the platform that are followed.
+pub(crate) const FOLLOWED: [&str; 2] = [OURS, SERVERS];
+
+/// Passes on what a follower tells.
+pub(crate) async fn follow(client: Client, prefix: &'static str, told: UnboundedSender<Told>) {
+    const QUEUE: usize = 1_024;
+    let (sender, mut receiver) = tokio::sync::mpsc::channel(QUEUE);
+    tokio::spawn(platform::follow(client, prefix.to_owned(), sender));
+    while let Some(update) = receiver.recv().await {
+        if told.send(Told::Platform(prefix, update)).is_err() {
+            return;
+        }
+    }
+}
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -80,6 +80,7 @@
     pub(crate) in_progress: AtomicU64,
     pub(crate) feeds: AtomicU64,
     pub(crate) records: AtomicU64,
+    pub(crate) parked: AtomicU64,
     pub(crate) dropped: AtomicU64,
 }
 
