--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -39,6 +39,7 @@
 use crate::steer;
 use crate::steer::Steer;
 use crate::wire::Keys;
+use crate::worker::Observe;
 use crate::worker::Outlet;
 use crate::worker::PATHS;
 use crate::worker::Pool;
@@ -261,8 +262,6 @@
     }
 }
 
-type Observe = Box<dyn Fn(Instant, &crate::action::Note) + Send + Sync>;
-
 fn observer(metrics: &Arc<Metrics>, ring: &Arc<explain::Ring>, log: &Logger) -> Observe {
     let (metrics, ring, log) = (Arc::clone(metrics), Arc::clone(ring), log.clone());
     Box::new(move |now, note| {
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -62,6 +62,9 @@
     pub(crate) backup: id::Holder,
 }
 
+/// Told of each note.
+pub(crate) type Observe = Box<dyn Fn(Instant, &Note) + Send + Sync>;
+
 /// Where actions go; shared by all workers.
 ///
 /// Lock order: `listeners` is a leaf, held for one lookup.
@@ -70,7 +73,7 @@
     pub(crate) paths: Vec<UdpSocket>,
     pub(crate) link: Arc<Link>,
     pub(crate) joined: UnboundedSender<Joined>,
-    pub(crate) observe: Box<dyn Fn(Instant, &Note) + Send + Sync>,
+    pub(crate) observe: Observe,
     pub(crate) message: AtomicUsize,
 }
 
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -43,7 +43,7 @@
 use crate::message::REQUEST_TAG;
 
 /// Option with the time that a request may wait for a slot, in milliseconds.
-pub const DEADLINE_OPTION: u16 = 65_001;
+pub const DEADLINE_OPTION: u16 = 65_000;
 /// Resource whose answer needs several blocks.
 pub const LARGE_PATH: &str = "/large";
 /// Size of that answer.
