--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -88,6 +88,13 @@
         ),
         (r#"["http://127.0.0.1:7090"]"#, "[]", 8, "platform", "[]"),
         ("7102", "7101", 9, "listeners.dispatch", "127.0.0.1:7101"),
+        (
+            "127.0.0.1:7102",
+            "0.0.0.0:7100",
+            9,
+            "listeners.dispatch",
+            "0.0.0.0:7100",
+        ),
         (
             r#""dispatch":"#,
             r#""a b":"#,
