--- a/src/client.rs
+++ b/src/client.rs
@@ -88,7 +88,7 @@
     ///
     /// # Errors
     ///
-    /// After [`Error::Unanswered`] the write may have taken effect, or may do so
+    /// After [`crate::Error::Unanswered`] the write may have taken effect, or may do so
     /// later. After any other error it has not and will not.
     pub async fn swap(
         &self,
@@ -126,7 +126,7 @@
     ///
     /// # Errors
     ///
-    /// After [`Error::Unanswered`] a lease may exist that nobody knows of; it
+    /// After [`crate::Error::Unanswered`] a lease may exist that nobody knows of; it
     /// holds no key and lapses by itself.
     pub async fn lease_grant(&self, ttl: Duration) -> Result<Lease> {
         let call = Call {
@@ -173,7 +173,8 @@
     ///
     /// The first batch is empty and tells that the watch stands. The stream ends
     /// with its first error; a watch that is closed is one too. A watch whose
-    /// connection went silent gives no error, which is why [`follow`] probes.
+    /// connection went silent gives no error, which is why
+    /// [`crate::platform::follow`] probes.
     pub fn watch(
         &self,
         prefix: &str,
