--- a/src/status.rs
+++ b/src/status.rs
@@ -6,7 +6,7 @@
 //! | `GET /ready` | 200 if it takes callers' datagrams, else 503 |
 //! | `GET /metrics` | Prometheus text (OpenMetrics) |
 //! | `GET /explain?service=S&caller=A` | list of [`Trace`], newest first |
-//! | `GET /burn` | [`crate::burn::Sample`] |
+//! | `GET /burn` | the burn counts |
 
 use std::collections::BTreeMap;
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -111,7 +111,7 @@
             .map(|(slice, row)| (id::Slice(slice as u32), row))
     }
 
-    /// The slice of a flow; see [`slice`].
+    /// The slice of a flow; see [`slice()`].
     pub fn slice(&self, key: u64, flow: &Flow) -> id::Slice {
         slice(self.len(), key, flow)
     }
--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -1,9 +1,5 @@
 //! A small deployment for tests: real daemons as processes, stand-ins in this one.
 
-#![expect(
-    clippy::allow_attributes,
-    reason = "which helpers are unused differs from test to test"
-)]
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::collections::BTreeMap;
