--- /dev/null
+++ b/src/collector.rs
@@ -0,0 +1,72 @@
+//! Metrics that are read from others' counts at each scrape.
+
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::DescriptorEncoder;
+use prometheus_client::encoding::EncodeMetric;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+
+use crate::metric::COUNTER_SUFFIX;
+use crate::metric::Name;
+use crate::metric::PLATFORM_CALLS;
+use crate::metric::PLATFORM_FAILURES;
+use crate::platform::Client;
+use crate::platform::Counts;
+
+/// Reads the platform client's own counts at each scrape, so that they stand once.
+pub(crate) struct Platform(pub(crate) Client);
+
+impl fmt::Debug for Platform {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Platform").field(self.0.counts()).finish()
+    }
+}
+
+impl Collector for Platform {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let counts = self.0.counts();
+        encode_kinds(&mut encoder, PLATFORM_CALLS, &calls(counts))?;
+        encode_kinds(&mut encoder, PLATFORM_FAILURES, &failures(counts))
+    }
+}
+
+type Kind<'a> = (&'static str, &'a AtomicU64);
+
+fn calls(counts: &Counts) -> [Kind<'_>; 4] {
+    [
+        ("read", &counts.reads),
+        ("write", &counts.writes),
+        ("lease", &counts.leases),
+        ("watch", &counts.watches),
+    ]
+}
+
+fn failures(counts: &Counts) -> [Kind<'_>; 5] {
+    [
+        ("unreachable", &counts.unreachable),
+        ("unanswered", &counts.unanswered),
+        ("refused", &counts.refused),
+        ("exhausted", &counts.exhausted),
+        ("stale", &counts.stale),
+    ]
+}
+
+fn encode_kinds(
+    encoder: &mut DescriptorEncoder<'_>,
+    (name, meaning): Name,
+    kinds: &[Kind<'_>],
+) -> fmt::Result {
+    let stem = name.strip_suffix(COUNTER_SUFFIX).unwrap_or(name);
+    let help = format!("{meaning}.");
+    let mut family = encoder.encode_descriptor(stem, &help, None, MetricType::Counter)?;
+    for (kind, count) in kinds {
+        let labels = [("kind", *kind)];
+        let counter = ConstCounter::new(count.load(Ordering::Relaxed));
+        counter.encode(family.encode_family(&labels)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/label.rs
@@ -0,0 +1,66 @@
+//! Labels of the metrics, all of them bounded.
+
+use std::fmt;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::encoding::LabelValueEncoder;
+
+use crate::id;
+
+/// Label of the services past the bound; no service can have this name.
+const OTHER: &str = "(other)";
+
+/// Way of a message between entry instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Direction {
+    /// To a peer.
+    Sent,
+    /// From a peer.
+    Received,
+}
+
+impl EncodeLabelValue for Direction {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let label = match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        };
+        label.encode(encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Service {
+    None,
+    Named(id::Service),
+    Other,
+}
+
+impl EncodeLabelValue for Service {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let label = match self {
+            Self::None => "",
+            Self::Named(service) => service.as_str(),
+            Self::Other => OTHER,
+        };
+        label.encode(encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EventLabels {
+    pub(crate) reason: &'static str,
+    pub(crate) service: Service,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PeerLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) direction: Direction,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub(crate) service: Service,
+}
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -10,19 +10,9 @@
 use std::fmt;
 use std::sync::PoisonError;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use prometheus_client::collector::Collector;
-use prometheus_client::encoding::DescriptorEncoder;
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::EncodeLabelValue;
-use prometheus_client::encoding::EncodeMetric;
-use prometheus_client::encoding::LabelValueEncoder;
 use prometheus_client::encoding::text;
-use prometheus_client::metrics::MetricType;
-use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -32,11 +22,17 @@
 use prometheus_client::registry::Unit;
 
 use crate::action::Note;
+use crate::collector::Platform;
 use crate::id;
+use crate::label::EventLabels;
+use crate::label::PeerLabels;
+use crate::label::Service;
+use crate::label::ServiceLabels;
 use crate::platform::Client;
-use crate::platform::Counts;
 use crate::reason::Reason;
 
+pub use crate::label::Direction;
+
 /// Services that get a label of their own.
 pub const MAX_SERVICES: usize = 256;
 
@@ -48,14 +44,11 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
-/// Label of the services past [`MAX_SERVICES`]; no service can have this name.
-const OTHER: &str = "(other)";
-
 /// Suffix that the encoder gives every counter.
-const COUNTER_SUFFIX: &str = "_total";
+pub(crate) const COUNTER_SUFFIX: &str = "_total";
 
 /// Name and meaning of a metric.
-type Name = (&'static str, &'static str);
+pub(crate) type Name = (&'static str, &'static str);
 
 const EVENTS: Name = (
     "godwitreel_events_total",
@@ -69,11 +62,11 @@
     "godwitreel_peer_bytes_total",
     "Bytes of messages between entry instances, by kind and direction",
 );
-const PLATFORM_CALLS: Name = (
+pub(crate) const PLATFORM_CALLS: Name = (
     "godwitreel_platform_calls_total",
     "Calls sent to the platform, by kind",
 );
-const PLATFORM_FAILURES: Name = (
+pub(crate) const PLATFORM_FAILURES: Name = (
     "godwitreel_platform_failures_total",
     "Calls to the platform that failed, by kind of failure",
 );
@@ -127,25 +120,6 @@
     REQUEST_DURATION,
 ];
 
-/// Way of a message between entry instances.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Direction {
-    /// To a peer.
-    Sent,
-    /// From a peer.
-    Received,
-}
-
-impl EncodeLabelValue for Direction {
-    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
-        let label = match self {
-            Self::Sent => "sent",
-            Self::Received => "received",
-        };
-        label.encode(encoder)
-    }
-}
-
 /// What the gauges show.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Levels {
@@ -165,41 +139,6 @@
     pub ready: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Service {
-    None,
-    Named(id::Service),
-    Other,
-}
-
-impl EncodeLabelValue for Service {
-    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
-        let label = match self {
-            Self::None => "",
-            Self::Named(service) => service.as_str(),
-            Self::Other => OTHER,
-        };
-        label.encode(encoder)
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct EventLabels {
-    reason: &'static str,
-    service: Service,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PeerLabels {
-    kind: &'static str,
-    direction: Direction,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ServiceLabels {
-    service: Service,
-}
-
 #[derive(Debug, Default)]
 struct Gauges {
     homes: Gauge,
@@ -375,57 +314,3 @@
 fn signed(count: u64) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
-
-/// Reads the platform client's own counts at each scrape, so that they stand once.
-struct Platform(Client);
-
-impl fmt::Debug for Platform {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_tuple("Platform").field(self.0.counts()).finish()
-    }
-}
-
-impl Collector for Platform {
-    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
-        let counts = self.0.counts();
-        encode_kinds(&mut encoder, PLATFORM_CALLS, &calls(counts))?;
-        encode_kinds(&mut encoder, PLATFORM_FAILURES, &failures(counts))
-    }
-}
-
-type Kind<'a> = (&'static str, &'a AtomicU64);
-
-fn calls(counts: &Counts) -> [Kind<'_>; 4] {
-    [
-        ("read", &counts.reads),
-        ("write", &counts.writes),
-        ("lease", &counts.leases),
-        ("watch", &counts.watches),
-    ]
-}
-
-fn failures(counts: &Counts) -> [Kind<'_>; 5] {
-    [
-        ("unreachable", &counts.unreachable),
-        ("unanswered", &counts.unanswered),
-        ("refused", &counts.refused),
-        ("exhausted", &counts.exhausted),
-        ("stale", &counts.stale),
-    ]
-}
-
-fn encode_kinds(
-    encoder: &mut DescriptorEncoder<'_>,
-    (name, meaning): Name,
-    kinds: &[Kind<'_>],
-) -> fmt::Result {
-    let stem = name.strip_suffix(COUNTER_SUFFIX).unwrap_or(name);
-    let help = format!("{meaning}.");
-    let mut family = encoder.encode_descriptor(stem, &help, None, MetricType::Counter)?;
-    for (kind, count) in kinds {
-        let labels = [("kind", *kind)];
-        let counter = ConstCounter::new(count.load(Ordering::Relaxed));
-        counter.encode(family.encode_family(&labels)?)?;
-    }
-    Ok(())
-}
--- a/src/render.rs
+++ b/src/render.rs
@@ -24,6 +24,12 @@
 /// Highest burn rate that the plot shows at least.
 const HIGHEST: f64 = 100.0;
 
+/// Room for the legend beside the last window, in distances between windows.
+const LEGEND: f64 = 0.7;
+
+/// Colour of the lower threshold; services have the bright ones.
+const GREY: RGBColor = RGBColor(128, 128, 128);
+
 /// Radius of a point of the plot, in pixels.
 const POINT: i32 = 4;
 
@@ -137,7 +143,7 @@
         .margin(12)
         .x_label_area_size(40)
         .y_label_area_size(60)
-        .build_cartesian_2d(0.0..last, (LOWEST..highest(report)).log_scale())?;
+        .build_cartesian_2d(0.0..last + LEGEND, (LOWEST..highest(report)).log_scale())?;
     chart
         .configure_mesh()
         .x_labels(Window::ALL.len())
@@ -145,7 +151,7 @@
         .x_desc("window")
         .y_desc("burn rate (0.01 or less at the bottom)")
         .draw()?;
-    for (name, limit, color) in [("page", Rate::PAGE, RED), ("ticket", Rate::TICKET, BLUE)] {
+    for (name, limit, color) in [("page", Rate::PAGE, BLACK), ("ticket", Rate::TICKET, GREY)] {
         let line = [(0.0, limit.0), (last, limit.0)];
         chart
             .draw_series(LineSeries::new(line, color))?
@@ -153,8 +159,7 @@
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
     }
     for (place, (service, line)) in report.services.iter().enumerate() {
-        // The first colours are those of the thresholds.
-        let color = Palette99::pick(place + 2).to_rgba();
+        let color = Palette99::pick(place).to_rgba();
         let points = points(line);
         let dots = points
             .iter()
