Count outcomes for the burn report, with the time since the first copy

Cause: the answered note carried the time of one sending, so a request that was retried for seconds counted as fast; a limit refusal was noted twice. Change: settling notes the outcome once, with the time since the first copy arrived; the daemon counts it in the ledger and serves GET /burn.

--- a/src/burn.rs
+++ b/src/burn.rs
@@ -211,6 +211,16 @@
         self.add(now, service, Mark::Bad);
     }
 
+    /// Counts an answered request by the time that it took.
+    pub fn answered(&mut self, now: Instant, service: &id::Service, elapsed: Duration) {
+        let Some(account) = self.accounts.get(service) else {
+            return;
+        };
+        let late = elapsed > Duration::from_millis(account.objective.latency_ms);
+        let mark = if late { Mark::Bad } else { Mark::Good };
+        self.add(now, service, mark);
+    }
+
     /// Counts a settled request by its outcome and the time that it took.
     pub fn settle(
         &mut self,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,12 +1,14 @@
 //! One entry instance: starts its sockets, workers and tasks, and stops them.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use slog::FnValue;
 use slog::Logger;
 use slog::debug;
 use slog::info;
@@ -16,6 +18,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::action::Note;
+use crate::burn::Ledger;
 use crate::control;
 use crate::control::Control;
 use crate::control::Registration;
@@ -32,6 +36,7 @@
 use crate::platform;
 use crate::platform::Client;
 use crate::probe;
+use crate::reason::Reason;
 use crate::registration;
 use crate::settings;
 use crate::shared::Parts;
@@ -90,6 +95,7 @@
     let metrics = Arc::new(Metrics::new(client.clone()));
     let link = Arc::new(Link::new(me.clone(), keys, socket, Arc::clone(&metrics)));
     let ring = Arc::new(explain::Ring::default());
+    let ledger = Arc::new(Mutex::new(Ledger::new(me.clone(), Instant::now())));
     let (joined, joins) = mpsc::unbounded_channel();
     let paths: Result<Vec<_>> = (0..PATHS)
         .map(|_| edge::bind((settings.backend_bind, 0).into()))
@@ -99,7 +105,7 @@
         paths: paths?,
         link: Arc::clone(&link),
         joined,
-        observe: observer(&metrics, &ring, &log),
+        observe: observer(&metrics, &ring, &ledger, &log),
         message: AtomicUsize::new(me.incarnation.0 as usize),
     });
     let engines = engines(&settings, &me);
@@ -114,6 +120,7 @@
         link,
         metrics,
         ring,
+        ledger,
         control,
     }));
     let (told, tells) = mpsc::unbounded_channel();
@@ -262,13 +269,20 @@
     }
 }
 
-fn observer(metrics: &Arc<Metrics>, ring: &Arc<explain::Ring>, log: &Logger) -> Observe {
+fn observer(
+    metrics: &Arc<Metrics>,
+    ring: &Arc<explain::Ring>,
+    ledger: &Arc<Mutex<Ledger>>,
+    log: &Logger,
+) -> Observe {
     let (metrics, ring, log) = (Arc::clone(metrics), Arc::clone(ring), log.clone());
+    let ledger = Arc::clone(ledger);
     Box::new(move |now, note| {
         metrics.note(note);
+        count(&ledger, now, note);
         debug!(log, "note"; "reason" => note.reason.code(),
-            "flow" => note.flow.as_ref().map(ToString::to_string),
-            "server" => note.server.as_ref().map(ToString::to_string));
+            "flow" => FnValue(|_| note.flow.as_ref().map(ToString::to_string)),
+            "server" => FnValue(|_| note.server.as_ref().map(ToString::to_string)));
         let context = explain::Context {
             epoch: note.epoch,
             revision: note.revision,
@@ -277,6 +291,21 @@
     })
 }
 
+/// Counts a final outcome for the burn report; a feed that was lost is a bad event.
+fn count(ledger: &Mutex<Ledger>, now: Instant, note: &Note) {
+    let Some(flow) = &note.flow else {
+        return;
+    };
+    let mut ledger = ledger.lock().unwrap_or_else(|lock| lock.into_inner());
+    match (note.reason, note.elapsed) {
+        (Reason::Answered, Some(elapsed)) => ledger.answered(now, &flow.service, elapsed),
+        (reason, _) if reason.is_failure() || reason == Reason::FeedLost => {
+            ledger.bad(now, &flow.service);
+        }
+        _ => {}
+    }
+}
+
 async fn check_health(shared: Arc<Shared>) {
     let client = reqwest::Client::new();
     let settings = shared.settings.probe;
--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -107,7 +107,7 @@
         let server = Arc::clone(&sending.server);
         let earlier = self.remove_feed(slice, &key);
         let sequence = earlier.map_or(1, |feed| feed.sequence + 1) & SEQUENCE_MASK;
-        self.insert_sending(now, slice, &key, attempt, &server);
+        self.insert_sending(slice, &key, attempt, &server);
         let feed = Feed {
             datagram,
             server: server.id.clone(),
@@ -130,7 +130,6 @@
 
     fn insert_sending(
         &mut self,
-        now: Instant,
         slice: id::Slice,
         key: &FeedKey,
         attempt: id::Attempt,
@@ -143,7 +142,6 @@
                 slice,
                 purpose: Purpose::Feed(key.clone()),
                 server: Arc::clone(server),
-                since: now,
             },
         );
     }
@@ -407,7 +405,7 @@
             return;
         };
         let attempt = self.new_attempt();
-        self.insert_sending(now, slice, key, attempt, &server);
+        self.insert_sending(slice, key, attempt, &server);
         if let Some(feed) = self.feed(slice, key) {
             feed.renewal = Some(Renewal {
                 attempt,
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -224,12 +224,10 @@
         }
         let intent = match self.limit(slice, service, &request.flow) {
             None => Intent::Forward,
-            Some(reason) => {
-                self.note_request(reason, slice, &request.key());
-                Intent::Refuse {
-                    retry_after: service.profile.retry_after_s,
-                }
-            }
+            Some(reason) => Intent::Refuse {
+                retry_after: service.profile.retry_after_s,
+                reason,
+            },
         };
         let key = self.open(now, slice, service, request, Phase::Claiming(intent));
         self.usage(&service.id)
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -84,9 +84,12 @@
         }
         match intent {
             Intent::Forward => self.dispatch(now, slice, key),
-            Intent::Refuse { retry_after } => {
+            Intent::Refuse {
+                retry_after,
+                reason,
+            } => {
                 let outcome = Outcome::NotRun { retry_after };
-                self.settle(now, slice, key, outcome, Reason::RefusedLimit);
+                self.settle(now, slice, key, outcome, reason);
             }
         }
     }
@@ -185,10 +188,9 @@
                 slice,
                 purpose: Purpose::Request(key.clone()),
                 server: Arc::clone(&server),
-                since: now,
             },
         );
-        self.note_server(Reason::Forwarded, slice, key, &server, None);
+        self.note_forwarded(slice, key, &server);
         self.out.push(Action::Forward {
             server,
             attempt,
@@ -356,8 +358,6 @@
                 record.sequence = Some(sequence);
             }
         }
-        let elapsed = now.duration_since(sending.since);
-        self.note_server(Reason::Answered, slice, key, &sending.server, Some(elapsed));
         let outcome = Outcome::Answered(answer.datagram);
         self.settle(now, slice, key, outcome, Reason::Answered);
     }
@@ -382,13 +382,17 @@
         let attempts = std::mem::take(&mut record.attempts);
         let (kind, token, confirmable) = (record.kind, record.token, record.confirmable);
         let (separate, sequence) = (record.separate, record.sequence);
+        let born = record.born;
+        let server = match outcome {
+            Outcome::Answered(_) => record.tried.last().cloned(),
+            _ => None,
+        };
         for attempt in attempts {
             self.drop_sending(attempt);
         }
         self.close_account(slice, key);
-        if reason != Reason::Answered {
-            self.note_request(reason, slice, key);
-        }
+        let elapsed = now.duration_since(born);
+        self.note_settled(reason, slice, key, server, elapsed);
         self.tell_new_home(slice, key, token, &outcome);
         let delivery = separate.map_or(Delivery::Direct, |message| Delivery::Separate { message });
         self.out.push(Action::Answer {
@@ -558,18 +562,28 @@
         self.note(Reason::Ejected);
     }
 
-    pub(super) fn note_server(
+    fn note_forwarded(&mut self, slice: id::Slice, key: &Key, server: &Server) {
+        let note = Note {
+            request: Some(key.id),
+            server: Some(server.id.clone()),
+            ..self.flow_note(Reason::Forwarded, slice, &key.flow)
+        };
+        self.out.push(Action::Note(note));
+    }
+
+    /// Notes a final outcome with the time since the first copy arrived.
+    fn note_settled(
         &mut self,
         reason: Reason,
         slice: id::Slice,
         key: &Key,
-        server: &Server,
-        elapsed: Option<Duration>,
+        server: Option<id::Server>,
+        elapsed: Duration,
     ) {
         let note = Note {
             request: Some(key.id),
-            server: Some(server.id.clone()),
-            elapsed,
+            server,
+            elapsed: Some(elapsed),
             ..self.flow_note(reason, slice, &key.flow)
         };
         self.out.push(Action::Note(note));
--- a/src/http.rs
+++ b/src/http.rs
@@ -29,6 +29,7 @@
         .route("/ready", get(ready))
         .route("/metrics", get(metrics))
         .route("/explain", get(explain))
+        .route("/burn", get(burn))
         .with_state(shared)
 }
 
@@ -58,6 +59,14 @@
     ([(CONTENT_TYPE, OPEN_METRICS)], shared.metrics.encode())
 }
 
+async fn burn(State(shared): Instance) -> impl IntoResponse {
+    let mut ledger = shared
+        .ledger
+        .lock()
+        .unwrap_or_else(|lock| lock.into_inner());
+    Json(ledger.sample(Instant::now()))
+}
+
 #[derive(Deserialize)]
 struct Asked {
     service: id::Service,
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -15,6 +15,23 @@
         }
 
         impl Reason {
+            /// Whether it is the final outcome of a request and the request was not
+            /// answered.
+            pub fn is_failure(self) -> bool {
+                matches!(
+                    self,
+                    Self::RefusedNoServer
+                        | Self::RefusedByServer
+                        | Self::RefusedLimit
+                        | Self::RefusedCaller
+                        | Self::UnknownDeadline
+                        | Self::UnknownClaimed
+                        | Self::UnknownBlank
+                        | Self::UnknownAuthority
+                        | Self::UnknownNoHome
+                )
+            }
+
             /// Every code, in the order of this list.
             pub const ALL: &'static [Reason] = &[$(Reason::$variant,)*];
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -10,6 +10,7 @@
 
 use crate::id;
 use crate::peer;
+use crate::reason::Reason;
 use crate::request::Flow;
 use crate::request::Id;
 use crate::request::Key;
@@ -22,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Intent {
     Forward,
-    Refuse { retry_after: u32 },
+    Refuse { retry_after: u32, reason: Reason },
 }
 
 /// How far a request has come.
@@ -188,7 +189,6 @@
     pub(crate) slice: id::Slice,
     pub(crate) purpose: Purpose,
     pub(crate) server: Arc<Server>,
-    pub(crate) since: Instant,
 }
 
 /// A non-idempotent request that waits for its slice to get a home.
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::burn::Ledger;
 use crate::config::Config;
 use crate::control::Control;
 use crate::explain;
@@ -35,6 +36,7 @@
     pub(crate) link: Arc<Link>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) ring: Arc<explain::Ring>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) ready: AtomicBool,
     closing: CancellationToken,
     config: Mutex<Config>,
@@ -51,6 +53,7 @@
     pub(crate) link: Arc<Link>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) ring: Arc<explain::Ring>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) control: Control,
 }
 
@@ -65,6 +68,7 @@
             link: parts.link,
             metrics: parts.metrics,
             ring: parts.ring,
+            ledger: parts.ledger,
             ready: AtomicBool::new(false),
             closing: CancellationToken::new(),
             config: Mutex::default(),
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -38,6 +38,7 @@
 use crate::platform::Resolved;
 use crate::platform::Update;
 use crate::shared::Shared;
+use crate::snapshot::Snapshot;
 use crate::table::Document;
 use crate::table::Row;
 
@@ -349,12 +350,27 @@
             warn!(self.shared.log, "document refused"; "key" => key, "reason" => reason);
         }
         drop(config);
+        self.set_objectives(&snapshot);
         self.shared.pool.tell(&Event::Snapshot(snapshot));
         for (service, address) in addresses {
             self.listen(service, address);
         }
     }
 
+    fn set_objectives(&self, snapshot: &Snapshot) {
+        let objectives = snapshot
+            .services
+            .iter()
+            .map(|(id, service)| (id.clone(), service.profile.objective))
+            .collect();
+        let mut ledger = self
+            .shared
+            .ledger
+            .lock()
+            .unwrap_or_else(|lock| lock.into_inner());
+        ledger.configure(&objectives);
+    }
+
     fn listen(&mut self, service: id::Service, public: id::Endpoint) {
         let outlet = &self.shared.outlet;
         let known = outlet.listeners.read();
