Run claims that were under way in a planned move; notice a blank takeover across skipped rows

It now states that it gave the claim up. - A worker that saw only the last of several rows took a blank takeover for its own continued ownership and would have run copies. - An instance in contact with the platform pulled from a peer that was cut off and could bring removed keys back. It now pulls only while the platform is silent. - Orders to join or abandon a backup wait for room in a worker's queue; requests to take slices over go out twice a second, not ten times.

--- a/src/control.rs
+++ b/src/control.rs
@@ -154,6 +154,7 @@
     /// Slices on their way to a less loaded instance.
     migrating: BTreeMap<id::Slice, id::Holder>,
     yielded: BTreeMap<id::Slice, Instant>,
+    asked: Option<Instant>,
     home_since: HashMap<id::Slice, Instant>,
     last_contact: Option<Instant>,
     silent: bool,
@@ -176,6 +177,7 @@
             joining: BTreeMap::new(),
             migrating: BTreeMap::new(),
             yielded: BTreeMap::new(),
+            asked: None,
             home_since: HashMap::new(),
             last_contact: None,
             silent: true,
@@ -272,6 +274,11 @@
         self.gone.clear();
     }
 
+    /// Whether the platform does not answer now.
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
     /// When the platform last answered.
     pub fn last_contact(&self) -> Option<Instant> {
         self.last_contact
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -29,6 +29,9 @@
 /// Slices on their way to a less loaded instance at a time.
 const MAX_MIGRATING: usize = 16;
 
+/// Time between two requests to the same backups to take slices over.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
 /// Longest copy lifetime that a profile may state.
 const LONGEST_COPY_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -401,6 +404,11 @@
                 asked.entry(backup.clone()).or_default().push(slice);
             }
         }
+        let recent = self.asked.is_some_and(|at| now < at + ASK_EVERY);
+        if recent || asked.is_empty() {
+            return;
+        }
+        self.asked = Some(now);
         for (to, slices) in asked {
             commands.push(Command::Yield { to, slices });
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -91,7 +91,11 @@
     let receiving = socket
         .try_clone()
         .map_err(|source| io(settings.peer, source))?;
-    let client = Client::new(settings.platform.clone(), platform::Options::default())?;
+    let options = platform::Options {
+        seed: me.incarnation.0,
+        ..platform::Options::default()
+    };
+    let client = Client::new(settings.platform.clone(), options)?;
     let metrics = Arc::new(Metrics::new(client.clone()));
     let link = Arc::new(Link::new(me.clone(), keys, socket, Arc::clone(&metrics)));
     let ring = Arc::new(explain::Ring::default());
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -178,7 +178,11 @@
     match frame.body {
         Body::Relay(relay) => {
             let flow = peer::unpack_flow(relay.flow.as_ref())?;
-            from_caller(shared, flow, relay.datagram, relay.hops);
+            if relay.released {
+                take_released(shared, from, flow, relay.datagram)?;
+            } else {
+                from_caller(shared, flow, relay.datagram, relay.hops);
+            }
         }
         Body::Heartbeat(message) => {
             let _ = told.send(Told::Heartbeat { from, message });
@@ -203,6 +207,14 @@
     Ok(())
 }
 
+fn take_released(shared: &Shared, from: id::Holder, flow: Flow, datagram: Bytes) -> Result<()> {
+    if let Inbound::Request(request) = codec::read_caller(&flow, &datagram)? {
+        let slice = shared.pool.slice(&flow);
+        shared.pool.give(slice, Event::Released { from, request });
+    }
+    Ok(())
+}
+
 fn slice_of(body: &Body) -> Option<id::Slice> {
     match body {
         Body::Replicate(message) => Some(id::Slice(message.slice)),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -142,6 +142,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
             Event::Request { request, hops } => self.request(now, request, hops),
+            Event::Released { from, request } => self.released(now, &from, request),
             Event::Receipt {
                 flow,
                 message,
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -92,6 +92,7 @@
             flow: Some(peer::pack_flow(flow)),
             datagram,
             hops: hops + 1,
+            released: false,
         });
         self.out.push(Action::Peer {
             to: to.clone(),
@@ -100,6 +101,28 @@
         self.note(Reason::Relayed);
     }
 
+    /// Takes over a request that the home until now claimed here, as its backup,
+    /// and did not forward.
+    ///
+    /// Without this, a planned move would tell the callers of requests that were
+    /// just being claimed "unknown", though nobody ran them. The earlier home is
+    /// the only one that could have forwarded under its claim, and it has dropped
+    /// the request, so the claim says nothing any more.
+    pub(super) fn released(&mut self, now: Instant, from: &id::Holder, request: Request) {
+        let slice = self.slice_of(&request.flow);
+        let key = request.key();
+        let record = self.record(slice, &key);
+        if record.is_some_and(|record| record.phase == Phase::Claimed) {
+            self.forget(slice, &key);
+        }
+        // The table here may still name the sender, which would send it back.
+        if self.table.row(slice).is_home(from) {
+            self.wait(now, request);
+        } else {
+            self.request(now, request, 0);
+        }
+    }
+
     fn wait(&mut self, now: Instant, request: Request) {
         let same = |parked: &Parked| {
             parked.request.id == request.id && parked.request.flow == request.flow
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -407,13 +407,23 @@
             .map(|(slice, row)| (slice, row.clone()))
             .collect();
         for (slice, row) in rows {
-            self.take_row(now, slice, row);
+            let was_blank = before
+                .rows()
+                .nth(slice.0 as usize)
+                .is_some_and(|(_, r)| r.blank);
+            self.take_row(now, slice, row, was_blank);
         }
         self.unpark(now);
     }
 
-    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row) {
+    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, was_blank: bool) {
         let state = self.slices.entry(slice).or_default();
+        // Rows between may have been skipped: this instance can have lost the
+        // slice and taken it back without records, unseen by this worker. What the
+        // homes between let run is not in the records here.
+        if row.blank && !was_blank {
+            state.blank_since = Some(now);
+        }
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
         if row.is_home(&self.settings.me) {
@@ -475,7 +485,19 @@
             datagram: record.datagram.clone(),
         };
         self.close_record(slice, key);
-        self.request(now, request, 0);
+        let row = self.table.row(slice);
+        let home = row.home.clone().filter(|home| self.members.is_live(home));
+        let Some(to) = home else {
+            self.request(now, request, 0);
+            return;
+        };
+        let body = peer::Body::Relay(peer::Relay {
+            flow: Some(peer::pack_flow(&request.flow)),
+            datagram: request.datagram,
+            hops: 1,
+            released: true,
+        });
+        self.out.push(Action::Peer { to, body });
     }
 
     fn close_record(&mut self, slice: id::Slice, key: &Key) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -37,6 +37,10 @@
     /// Relays so far.
     #[prost(uint32, tag = "3")]
     pub hops: u32,
+    /// Whether the sender, home until now, claimed the request but never
+    /// forwarded it and never will.
+    #[prost(bool, tag = "4")]
+    pub released: bool,
 }
 
 /// A request that may be forwarded from now on, or will never be.
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -216,9 +216,13 @@
             return;
         }
         let since = *self.differs.entry(from.instance.clone()).or_insert(now);
-        let never = self.shared.control().last_contact().is_none();
+        let control = self.shared.control();
+        let (silent, never) = (control.is_silent(), control.last_contact().is_none());
+        drop(control);
+        // With the platform in reach a peer has nothing to add: one that is cut off
+        // from it would bring back what was removed meanwhile.
         let recent = self.pulled.is_some_and(|pulled| now < pulled + DIFFER_FOR);
-        if recent || (!never && now < since + DIFFER_FOR) {
+        if !silent || recent || (!never && now < since + DIFFER_FOR) {
             return;
         }
         let Ok(address) = message.address.parse::<id::Endpoint>() else {
@@ -412,12 +416,12 @@
                         slices: vec![slice],
                         backup: backup.clone(),
                     };
-                    pool.give(slice, event);
+                    pool.order(slice, event);
                 }
             }
             Command::Abandon(slices) => {
                 for slice in slices {
-                    pool.give(slice, Event::Abandon(vec![slice]));
+                    pool.order(slice, Event::Abandon(vec![slice]));
                 }
             }
             Command::Yield { to, slices } => {
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -133,6 +133,13 @@
         self.push(worker, Input::Event(event));
     }
 
+    /// Gives an order of the control task to the worker that owns a slice; waits
+    /// for room, since a lost order would leave the slice without a backup.
+    pub(crate) fn order(&self, slice: id::Slice, event: Event) {
+        let worker = slice.0 as usize % self.senders.len();
+        let _ = self.senders[worker].send(Input::Event(event));
+    }
+
     /// Gives a server's answer to the worker whose sending it answers.
     pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) {
         let worker = (attempt.0 >> ATTEMPT_BITS) as usize;
