--- /dev/null
+++ b/src/bin/godwitreel/app.rs
@@ -0,0 +1,398 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use bpaf::positional;
+use godwitreel::id;
+use godwitreel::platform::Base;
+use godwitreel::render::Output;
+
+use crate::exit;
+
+/// Name under which the program is installed.
+pub(crate) const NAME: &str = "godwitreel";
+
+/// Time that `--wait` waits unless it says otherwise.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// Options of every command.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Common {
+    pub(crate) config: Option<PathBuf>,
+    pub(crate) platform: Vec<Base>,
+    pub(crate) operator: Option<id::Operator>,
+    pub(crate) output: Option<Output>,
+}
+
+impl Common {
+    /// Takes from `outer` what is not given here.
+    fn or(self, outer: Self) -> Self {
+        let platform = match self.platform.is_empty() {
+            true => outer.platform,
+            false => self.platform,
+        };
+        Self {
+            config: self.config.or(outer.config),
+            platform,
+            operator: self.operator.or(outer.operator),
+            output: self.output.or(outer.output),
+        }
+    }
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub(crate) enum Action {
+    Profile(Profile),
+    Service(Service),
+    Drain(Drain),
+    Status,
+    Explain {
+        service: id::Service,
+        caller: id::Endpoint,
+    },
+    Burn {
+        plot: Option<PathBuf>,
+    },
+    Completions(Shell),
+}
+
+/// What concerns profiles.
+#[derive(Clone, Debug)]
+pub(crate) enum Profile {
+    Apply {
+        expect: Option<id::Revision>,
+        wait: Option<Duration>,
+        name: id::Profile,
+        file: PathBuf,
+    },
+    Get(id::Profile),
+    List,
+    Diff {
+        name: id::Profile,
+        file: PathBuf,
+    },
+    History(id::Profile),
+}
+
+/// What concerns services.
+#[derive(Clone, Debug)]
+pub(crate) enum Service {
+    Choose {
+        wait: Option<Duration>,
+        service: id::Service,
+        profile: id::Profile,
+    },
+    Add {
+        service: id::Service,
+        address: id::Endpoint,
+        profile: id::Profile,
+    },
+    Get(id::Service),
+    List,
+}
+
+/// What leaves, or stays after all.
+#[derive(Clone, Debug)]
+pub(crate) enum Drain {
+    Instance {
+        undo: bool,
+        wait: Option<Duration>,
+        name: id::Instance,
+    },
+    Server {
+        undo: bool,
+        name: id::Server,
+    },
+}
+
+/// A shell whose completions can be had.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Shell {
+    Bash,
+    Zsh,
+    Fish,
+}
+
+impl std::str::FromStr for Shell {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "bash" => Ok(Self::Bash),
+            "zsh" => Ok(Self::Zsh),
+            "fish" => Ok(Self::Fish),
+            _ => Err("want bash, zsh or fish"),
+        }
+    }
+}
+
+/// A whole command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) common: Common,
+    pub(crate) action: Action,
+}
+
+/// A command line whose options may stand before the command and after it.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    common: Common,
+    call: Call,
+}
+
+impl Line {
+    /// The call; an option after the command counts more.
+    pub(crate) fn merge(self) -> Call {
+        Call {
+            common: self.call.common.or(self.common),
+            action: self.call.action,
+        }
+    }
+}
+
+/// The parser of the whole command line.
+pub(crate) fn options() -> OptionParser<Line> {
+    let common = common();
+    let call = call();
+    construct!(Line { common, call })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Drives godwitreel: profiles, services, drains, and the state of its instances.")
+        .footer(exit::HELP)
+}
+
+fn call() -> impl Parser<Call> {
+    let profile = profile()
+        .command("profile")
+        .help("Change and show profiles");
+    let service = service()
+        .command("service")
+        .help("Change and show services");
+    let instance = instance()
+        .command("instance")
+        .help("Let an entry instance leave");
+    let server = server()
+        .command("server")
+        .help("Let a backend server leave");
+    let status = leaf(bpaf::pure(Action::Status))
+        .command("status")
+        .help("Show the state of every instance");
+    let explain = explain();
+    let report = report()
+        .command("report")
+        .help("Report on what was promised");
+    let completions = completions();
+    construct!([
+        profile,
+        service,
+        instance,
+        server,
+        status,
+        explain,
+        report,
+        completions,
+    ])
+}
+
+fn common() -> impl Parser<Common> {
+    let config = long("config")
+        .env("GODWITREEL_CONFIG")
+        .help("Settings file, JSON with comments")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let platform = long("platform")
+        .help("Address of the platform, http://IP:PORT; may be repeated")
+        .argument::<Base>("URL")
+        .many();
+    let operator = long("operator")
+        .help("Name that changes carry")
+        .argument::<id::Operator>("NAME")
+        .optional();
+    let output = long("output")
+        .help("table (default) or json")
+        .argument::<Output>("FORM")
+        .optional();
+    construct!(Common {
+        config,
+        platform,
+        operator,
+        output
+    })
+}
+
+/// A command without commands below it.
+fn leaf(action: impl Parser<Action> + 'static) -> OptionParser<Call> {
+    let common = common();
+    construct!(Call { common, action })
+        .to_options()
+        .footer(exit::HELP)
+}
+
+fn wait() -> impl Parser<Option<Duration>> {
+    let limit = long("wait")
+        .help("Wait until it is in force at every instance, 30 seconds unless given")
+        .argument::<u64>("SECONDS")
+        .adjacent()
+        .map(Duration::from_secs);
+    let usual = long("wait").req_flag(WAIT).hide();
+    construct!([limit, usual]).optional()
+}
+
+fn undo() -> impl Parser<bool> {
+    long("undo").help("Take the wish back").switch()
+}
+
+fn profile() -> OptionParser<Call> {
+    let apply = {
+        let expect = long("expect")
+            .help("Refuse unless this is the current revision; 0 if there is none")
+            .argument::<id::Revision>("REVISION")
+            .optional();
+        let wait = wait();
+        let name = positional("NAME");
+        let file = positional("FILE");
+        leaf(
+            construct!(Profile::Apply {
+                expect,
+                wait,
+                name,
+                file
+            })
+            .map(Action::Profile),
+        )
+        .command("apply")
+        .help("Write a profile from a file")
+    };
+    let get = leaf(positional("NAME").map(Profile::Get).map(Action::Profile))
+        .command("get")
+        .help("Show a profile");
+    let list = leaf(bpaf::pure(Action::Profile(Profile::List)))
+        .command("list")
+        .help("Show all profiles");
+    let diff = {
+        let name = positional("NAME");
+        let file = positional("FILE");
+        leaf(construct!(Profile::Diff { name, file }).map(Action::Profile))
+            .command("diff")
+            .help("Show how a file differs from a profile")
+    };
+    let history = leaf(
+        positional("NAME")
+            .map(Profile::History)
+            .map(Action::Profile),
+    )
+    .command("history")
+    .help("Show a profile's last revisions");
+    construct!([apply, get, list, diff, history]).to_options()
+}
+
+fn service() -> OptionParser<Call> {
+    let choose = {
+        let wait = wait();
+        let service = positional("SERVICE");
+        let profile = positional("PROFILE");
+        leaf(
+            construct!(Service::Choose {
+                wait,
+                service,
+                profile
+            })
+            .map(Action::Service),
+        )
+        .command("choose")
+        .help("Let a service use another profile")
+    };
+    let add = {
+        let service = positional("SERVICE");
+        let address = positional("ADDRESS");
+        let profile = positional("PROFILE");
+        leaf(
+            construct!(Service::Add {
+                service,
+                address,
+                profile
+            })
+            .map(Action::Service),
+        )
+        .command("add")
+        .help("Add a service")
+    };
+    let get = leaf(positional("SERVICE").map(Service::Get).map(Action::Service))
+        .command("get")
+        .help("Show a service");
+    let list = leaf(bpaf::pure(Action::Service(Service::List)))
+        .command("list")
+        .help("Show all services");
+    construct!([choose, add, get, list]).to_options()
+}
+
+fn instance() -> OptionParser<Call> {
+    let undo = undo();
+    let wait = wait();
+    let name = positional("NAME");
+    leaf(construct!(Drain::Instance { undo, wait, name }).map(Action::Drain))
+        .command("drain")
+        .help("Let an instance hand its slices over, or stay after all")
+        .to_options()
+}
+
+fn server() -> OptionParser<Call> {
+    let undo = undo();
+    let name = positional("NAME");
+    leaf(construct!(Drain::Server { undo, name }).map(Action::Drain))
+        .command("drain")
+        .help("Let a server take no new work, or take it again")
+        .to_options()
+}
+
+fn explain() -> impl Parser<Call> {
+    let service = long("service")
+        .help("The service that was asked")
+        .argument("SERVICE");
+    let caller = long("caller")
+        .help("The caller's address, IP:PORT")
+        .argument("ADDRESS");
+    leaf(construct!(Action::Explain { service, caller }))
+        .command("explain")
+        .help("Show what was done for a caller, and why")
+}
+
+fn report() -> OptionParser<Call> {
+    let plot = long("plot")
+        .help("Draw the report into this file, SVG")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    leaf(construct!(Action::Burn { plot }))
+        .command("burn")
+        .help("Show how fast each service uses up its error budget")
+        .to_options()
+}
+
+fn completions() -> impl Parser<Call> {
+    let shell = positional::<Shell>("SHELL").help("bash, zsh or fish");
+    leaf(shell.map(Action::Completions))
+        .command("completions")
+        .help("Print a shell's completions")
+}
+
+/// The script by which a shell completes this program's command line.
+pub(crate) fn script(shell: Shell) -> String {
+    let argument = match shell {
+        Shell::Bash => "--bpaf-complete-style-bash",
+        Shell::Zsh => "--bpaf-complete-style-zsh",
+        Shell::Fish => "--bpaf-complete-style-fish",
+    };
+    let arguments = [std::ffi::OsString::from(argument)];
+    let arguments = bpaf::Args::from(&arguments[..]).set_name(NAME);
+    match options().run_inner(arguments) {
+        Err(bpaf::ParseFailure::Completion(script)) => script,
+        // The library answers these arguments with a script and nothing else.
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/src/bin/godwitreel/run.rs
@@ -0,0 +1,237 @@
+//! Carries one action out and prints its result.
+
+use std::path::Path;
+use std::time::Duration;
+
+use godwitreel::Result;
+use godwitreel::command;
+use godwitreel::command::change::Change;
+use godwitreel::command::change::Outcome;
+use godwitreel::document;
+use godwitreel::fleet::Fleet;
+use godwitreel::id;
+use godwitreel::platform::Client;
+use godwitreel::platform::Options;
+use godwitreel::query;
+use godwitreel::query::departure::Departure;
+use godwitreel::query::departure::Goal;
+use godwitreel::query::rollout::Rollout;
+use godwitreel::render;
+use godwitreel::settings;
+use serde::Serialize;
+
+use crate::app;
+use crate::app::Action;
+use crate::app::Drain;
+use crate::app::Profile;
+use crate::app::Service;
+use crate::config::Config;
+use crate::exit::Exit;
+
+/// A command's result and, if that was asked for, how far it has come.
+#[derive(Serialize)]
+struct Waited<T, W> {
+    #[serde(flatten)]
+    result: T,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wait: Option<W>,
+}
+
+/// Carries an action out.
+pub(crate) async fn run(action: Action, config: &Config) -> Result<Exit> {
+    if let Action::Completions(shell) = action {
+        print!("{}", app::script(shell));
+        return Ok(Exit::Done);
+    }
+    let fleet = fleet(config)?;
+    match action {
+        Action::Profile(action) => profile(action, config, &fleet).await,
+        Action::Service(action) => service(action, config, &fleet).await,
+        Action::Drain(action) => drain(action, config, &fleet).await,
+        Action::Status => {
+            let status = query::status::status(&fleet).await?;
+            print(config, &status, render::status);
+            Ok(Exit::whole(status.is_whole()))
+        }
+        Action::Explain { service, caller } => {
+            let account = query::explain::explain(&fleet, &service, caller).await?;
+            print(config, &account, render::account);
+            Ok(Exit::whole(account.is_whole()))
+        }
+        Action::Burn { plot } => burn(config, &fleet, plot.as_deref()).await,
+        Action::Completions(_) => Ok(Exit::Done),
+    }
+}
+
+fn fleet(config: &Config) -> Result<Fleet> {
+    let options = Options {
+        seed: rand::random(),
+        ..Options::default()
+    };
+    let client = Client::new(config.platform()?, options)?;
+    Fleet::new(client, config.instances.clone(), config.instance_timeout)
+}
+
+fn print<T: Serialize>(config: &Config, result: &T, table: impl FnOnce(&T) -> String) {
+    println!("{}", config.output.text(result, table));
+}
+
+async fn profile(action: Profile, config: &Config, fleet: &Fleet) -> Result<Exit> {
+    let client = fleet.platform();
+    match action {
+        Profile::Apply {
+            expect,
+            wait,
+            name,
+            file,
+        } => {
+            let body = read(&file)?;
+            let operator = config.operator()?;
+            let change = command::profile::apply(client, operator, &name, body, expect).await?;
+            Ok(finish(config, fleet, change, wait).await)
+        }
+        Profile::Get(name) => {
+            let profile = query::profile::get(client, &name).await?;
+            print(config, &profile, render::envelope);
+            Ok(Exit::Done)
+        }
+        Profile::List => {
+            let profiles = query::profile::list(client).await?;
+            print(config, &profiles, |profiles| render::profiles(profiles));
+            Ok(Exit::Done)
+        }
+        Profile::Diff { name, file } => {
+            let diff = query::profile::diff(client, &name, &read(&file)?).await?;
+            print(config, &diff, render::diff);
+            Ok(Exit::Done)
+        }
+        Profile::History(name) => {
+            let history = query::profile::history(client, &name).await?;
+            print(config, &history, |history| render::profiles(history));
+            Ok(Exit::Done)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<document::Profile> {
+    settings::profile(file, &settings::read(file)?)
+}
+
+async fn service(action: Service, config: &Config, fleet: &Fleet) -> Result<Exit> {
+    let client = fleet.platform();
+    match action {
+        Service::Choose {
+            wait,
+            service,
+            profile,
+        } => {
+            let operator = config.operator()?;
+            let change = command::service::choose(client, operator, &service, &profile).await?;
+            Ok(finish(config, fleet, change, wait).await)
+        }
+        Service::Add {
+            service,
+            address,
+            profile,
+        } => {
+            let body = document::Service { profile, address };
+            let operator = config.operator()?;
+            let change = command::service::add(client, operator, &service, body).await?;
+            Ok(finish(config, fleet, change, None).await)
+        }
+        Service::Get(name) => {
+            let service = query::service::get(client, &name).await?;
+            print(config, &service, render::envelope);
+            Ok(Exit::Done)
+        }
+        Service::List => {
+            let services = query::service::list(client).await?;
+            print(config, &services, |services| render::services(services));
+            Ok(Exit::Done)
+        }
+    }
+}
+
+/// Waits for an accepted change, if that is wanted, and prints all.
+async fn finish<T: Serialize>(
+    config: &Config,
+    fleet: &Fleet,
+    result: Change<T>,
+    limit: Option<Duration>,
+) -> Exit {
+    let wait = match (result.accepted(), limit) {
+        (Some(revision), Some(limit)) => {
+            Some(query::rollout::wait(fleet, &result.document, revision, limit).await)
+        }
+        _ => None,
+    };
+    let exit = match &result.outcome {
+        Outcome::Accepted { .. } => Exit::whole(wait.as_ref().is_none_or(Rollout::is_whole)),
+        Outcome::Refused { .. } => Exit::Refused,
+        Outcome::Unknown { .. } => Exit::Unknown,
+    };
+    let waited = Waited { result, wait };
+    print(config, &waited, |waited| {
+        let rollout = waited.wait.as_ref().map(render::rollout);
+        lines(render::change(&waited.result), rollout)
+    });
+    exit
+}
+
+async fn drain(action: Drain, config: &Config, fleet: &Fleet) -> Result<Exit> {
+    let client = fleet.platform();
+    let operator = config.operator()?;
+    match action {
+        Drain::Instance { undo, wait, name } => {
+            let result = command::drain::instance(client, operator, &name, undo).await?;
+            let accepted = result.outcome == command::drain::Outcome::Accepted;
+            let wait = match wait.filter(|_| accepted) {
+                Some(limit) => Some(departure(fleet, &name, undo, limit).await),
+                None => None,
+            };
+            Ok(left(config, result, wait))
+        }
+        Drain::Server { undo, name } => {
+            let result = command::drain::server(client, operator, &name, undo).await?;
+            Ok(left(config, result, None))
+        }
+    }
+}
+
+async fn departure(fleet: &Fleet, name: &id::Instance, undo: bool, limit: Duration) -> Departure {
+    let goal = if undo { Goal::Staying } else { Goal::Drained };
+    query::departure::wait(fleet, name, goal, limit).await
+}
+
+fn left(config: &Config, result: command::drain::Drain, wait: Option<Departure>) -> Exit {
+    let exit = match result.outcome {
+        command::drain::Outcome::Accepted => {
+            Exit::whole(wait.as_ref().is_none_or(|departure| departure.reached))
+        }
+        command::drain::Outcome::Refused => Exit::Refused,
+        command::drain::Outcome::Unknown => Exit::Unknown,
+    };
+    let waited = Waited { result, wait };
+    print(config, &waited, |waited| {
+        let departure = waited.wait.as_ref().map(render::departure);
+        lines(render::drain(&waited.result), departure)
+    });
+    exit
+}
+
+fn lines(first: String, second: Option<String>) -> String {
+    match second {
+        Some(second) => format!("{first}\n{second}"),
+        None => first,
+    }
+}
+
+async fn burn(config: &Config, fleet: &Fleet, plot: Option<&Path>) -> Result<Exit> {
+    let report = query::burn::report(fleet).await?;
+    if plot.is_some() {
+        eprintln!("godwitreel: the plot is not drawn yet");
+        return Ok(Exit::Usage);
+    }
+    print(config, &report, render::answers);
+    Ok(Exit::whole(report.is_whole()))
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -108,6 +108,21 @@
         self.transport.call(&call, gateway::swap).await
     }
 
+    /// Deletes a key if it was last written at this revision.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::swap`].
+    pub async fn erase(&self, key: &str, expected: u64) -> Result<Swap> {
+        let call = Call {
+            step: "erase",
+            kind: Kind::Write,
+            path: "/v3/kv/txn",
+            body: gateway::erase_request(key, expected),
+        };
+        self.transport.call(&call, gateway::swap).await
+    }
+
     /// Deletes a key and says whether it was there.
     ///
     /// # Errors
--- /dev/null
+++ b/src/command/drain.rs
@@ -0,0 +1,153 @@
+//! Wishing that an instance or a backend server leaves, and taking that back.
+//!
+//! A wish is a key that is there or not; it has no revisions. Wishing for what is
+//! wished already changes nothing and is no error.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command;
+use crate::command::change;
+use crate::error::Result;
+use crate::id;
+use crate::key;
+use crate::platform::Client;
+use crate::platform::Entry;
+use crate::platform::Resolved;
+
+/// Who wishes that something leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wish {
+    /// The operator.
+    pub operator: id::Operator,
+    /// Random mark of this write.
+    pub write_id: String,
+}
+
+/// What became of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The wish stands, or is gone, as ordered.
+    Accepted,
+    /// Another operator's order came in between; it stands and ours does not.
+    Refused,
+    /// Whether the order took effect, or still will, is not known.
+    Unknown,
+}
+
+/// An order and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Drain {
+    /// The key, as in `drain/servers/NAME`.
+    pub document: String,
+    /// Whether the wish was to be taken back.
+    pub undo: bool,
+    /// What became of the order.
+    pub outcome: Outcome,
+    /// The wish that stands, if one does and it can be read.
+    pub wish: Option<Wish>,
+    /// What the operator should know besides.
+    pub notes: Vec<String>,
+}
+
+/// Wishes that an instance leaves, or takes that back.
+///
+/// # Errors
+///
+/// After an error nothing was written and nothing will be.
+pub async fn instance(
+    client: &Client,
+    operator: &id::Operator,
+    name: &id::Instance,
+    undo: bool,
+) -> Result<Drain> {
+    let subject = key::instance(name);
+    order(client, operator, &key::instance_drain(name), &subject, undo).await
+}
+
+/// Wishes that a backend server leaves, or takes that back.
+///
+/// # Errors
+///
+/// After an error nothing was written and nothing will be.
+pub async fn server(
+    client: &Client,
+    operator: &id::Operator,
+    name: &id::Server,
+    undo: bool,
+) -> Result<Drain> {
+    let subject = key::server(name);
+    order(client, operator, &key::server_drain(name), &subject, undo).await
+}
+
+async fn order(
+    client: &Client,
+    operator: &id::Operator,
+    key: &str,
+    subject: &str,
+    undo: bool,
+) -> Result<Drain> {
+    let subject_listed = client.get(subject).await?.is_some();
+    let current = client.get(key).await?;
+    let mut drain = match (undo, current) {
+        (true, Some(entry)) => erase(client, key, &entry).await?,
+        (true, None) => drained(key, true, Outcome::Accepted, None),
+        (false, Some(entry)) => drained(key, false, Outcome::Accepted, Some(&entry)),
+        (false, None) => write(client, operator, key).await?,
+    };
+    // The lists lag, so a name that is not there yet is taken, but a slip of the
+    // pen must not look like a drain that works.
+    if !subject_listed && !undo {
+        drain.notes.push(format!("{subject} is not listed now"));
+    }
+    Ok(drain)
+}
+
+async fn write(client: &Client, operator: &id::Operator, key: &str) -> Result<Drain> {
+    let wish = Wish {
+        operator: operator.clone(),
+        write_id: command::write_id(),
+    };
+    let value = change::encode(key, &wish)?;
+    let resolved = client.swap_and_resolve(key, None, &value, None).await?;
+    Ok(match resolved {
+        Resolved::Done(_) => Drain {
+            wish: Some(wish),
+            ..drained(key, false, Outcome::Accepted, None)
+        },
+        // Another operator was first with the same wish, which is what was ordered.
+        Resolved::Lost(Some(entry)) | Resolved::Overtaken(Some(entry)) => {
+            drained(key, false, Outcome::Accepted, Some(&entry))
+        }
+        Resolved::Lost(None) => drained(key, false, Outcome::Refused, None),
+        Resolved::Overtaken(None) | Resolved::Unknown => {
+            drained(key, false, Outcome::Unknown, None)
+        }
+    })
+}
+
+/// Takes back the wish that was seen, and no later one: an order that was late
+/// on its way would otherwise undo what another operator has wished since.
+async fn erase(client: &Client, key: &str, seen: &Entry) -> Result<Drain> {
+    let resolved = client.erase_and_resolve(key, seen.mod_revision).await?;
+    Ok(match resolved {
+        Resolved::Done(_) | Resolved::Lost(None) | Resolved::Overtaken(None) => {
+            drained(key, true, Outcome::Accepted, None)
+        }
+        Resolved::Lost(Some(entry)) | Resolved::Overtaken(Some(entry)) => {
+            drained(key, true, Outcome::Refused, Some(&entry))
+        }
+        Resolved::Unknown => drained(key, true, Outcome::Unknown, None),
+    })
+}
+
+fn drained(key: &str, undo: bool, outcome: Outcome, entry: Option<&Entry>) -> Drain {
+    Drain {
+        document: key::document(key).to_owned(),
+        undo,
+        outcome,
+        wish: entry.and_then(|entry| serde_json::from_slice(&entry.value).ok()),
+        notes: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/command/history.rs
@@ -0,0 +1,57 @@
+//! Keeping the last envelopes of a profile.
+//!
+//! History is written after the change itself, which it must never endanger:
+//! losing an envelope is no failure, but it is said. Each change also keeps the
+//! envelope before it, in case the tool that wrote that one was stopped halfway.
+
+use serde::Serialize;
+
+use crate::command::change;
+use crate::document::Envelope;
+use crate::error::Result;
+use crate::key;
+use crate::platform::Client;
+
+/// Envelopes kept of each profile.
+const KEPT: usize = 10;
+
+/// Keeps these envelopes and lets the oldest go; says what could not be kept.
+pub(crate) async fn keep<T: Serialize>(
+    client: &Client,
+    prefix: &str,
+    envelopes: &[&Envelope<T>],
+) -> Vec<String> {
+    let mut notes = Vec::new();
+    for envelope in envelopes {
+        if let Err(error) = write(client, prefix, envelope).await {
+            let revision = envelope.revision;
+            notes.push(format!("revision {revision} not kept in history: {error}"));
+        }
+    }
+    if let Err(error) = prune(client, prefix).await {
+        notes.push(format!("old revisions still in history: {error}"));
+    }
+    notes
+}
+
+/// An envelope that is there already is the same one, as a revision is given once.
+async fn write<T: Serialize>(client: &Client, prefix: &str, envelope: &Envelope<T>) -> Result<()> {
+    let key = format!("{prefix}{}", envelope.revision);
+    let value = change::encode(&key, envelope)?;
+    client.swap(&key, None, &value, None).await?;
+    Ok(())
+}
+
+async fn prune(client: &Client, prefix: &str) -> Result<()> {
+    let listing = client.list(prefix).await?;
+    let mut revisions: Vec<u64> = listing
+        .entries
+        .iter()
+        .filter_map(|entry| key::last_part(&entry.key).parse().ok())
+        .collect();
+    revisions.sort_unstable_by(|a, b| b.cmp(a));
+    for revision in revisions.into_iter().skip(KEPT) {
+        client.delete(&format!("{prefix}{revision}")).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,240 @@
+//! The entry instances as seen from outside: who they are, and what they answer.
+//!
+//! Instances are found by their registrations in the platform and, should the
+//! platform be down, by the addresses in the tool's own settings. One that gives
+//! no answer is always named; leaving it out would make a part look like the
+//! whole.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use reqwest::Response;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::id;
+use crate::key;
+use crate::platform::Client;
+use crate::platform::Entry;
+
+/// Largest answer of an instance that is read, in bytes.
+const MAX_ANSWER: usize = 4 << 20;
+/// Instances asked at the same time.
+const MAX_ASKED: usize = 32;
+
+/// What an instance keeps in the platform under its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// Which instance, in which of its lives.
+    pub holder: id::Holder,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where it takes messages of other instances (UDP).
+    pub peer: id::Endpoint,
+    /// Where it answers for its status (HTTP).
+    pub status: id::Endpoint,
+    /// Whether it is handing its slices over.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// An instance that was not heard from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Silence {
+    /// Its name.
+    pub instance: String,
+    /// What was seen in place of an answer.
+    pub reason: String,
+}
+
+/// The instances that are to be asked.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Status address by name.
+    pub addresses: BTreeMap<id::Instance, id::Endpoint>,
+    /// Registrations that cannot be read.
+    pub unreadable: Vec<Silence>,
+    /// Why the platform's list could not be read, if so.
+    pub unlisted: Option<String>,
+}
+
+/// What the instances answered.
+#[derive(Clone, Debug, Serialize)]
+pub struct Gathered<T> {
+    /// Answers by instance.
+    pub heard: BTreeMap<id::Instance, T>,
+    /// Who gave none.
+    pub silent: Vec<Silence>,
+    /// Why the platform's list could not be read, if so: there may then be
+    /// instances that nobody asked.
+    pub unlisted: Option<String>,
+}
+
+impl<T> Gathered<T> {
+    /// Whether every instance was heard, as far as the platform's list goes.
+    pub fn is_whole(&self) -> bool {
+        self.silent.is_empty() && self.unlisted.is_none()
+    }
+}
+
+/// Access to the platform and the instances.
+#[derive(Clone)]
+pub struct Fleet {
+    platform: Client,
+    http: reqwest::Client,
+    timeout: Duration,
+    known: BTreeMap<id::Instance, id::Endpoint>,
+}
+
+impl Fleet {
+    /// Access through this client, with status addresses known beforehand.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client cannot be set up.
+    pub fn new(
+        platform: Client,
+        known: BTreeMap<id::Instance, id::Endpoint>,
+        timeout: Duration,
+    ) -> Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .build()
+            .map_err(|e| Error::Refused {
+                step: "instance client",
+                peer: "settings".to_owned(),
+                reason: e.to_string(),
+            })?;
+        Ok(Self {
+            platform,
+            http,
+            timeout,
+            known,
+        })
+    }
+
+    /// The platform's client.
+    pub fn platform(&self) -> &Client {
+        &self.platform
+    }
+
+    /// All instances that are registered or known from the settings.
+    pub async fn members(&self) -> Members {
+        let mut members = Members {
+            addresses: self.known.clone(),
+            ..Members::default()
+        };
+        match self.platform.list(key::INSTANCES).await {
+            Ok(listing) => {
+                for entry in &listing.entries {
+                    members.add(entry);
+                }
+            }
+            Err(error) => members.unlisted = Some(error.to_string()),
+        }
+        members
+    }
+
+    /// Asks every member for the same path.
+    pub async fn ask<T: DeserializeOwned>(&self, members: &Members, path: &str) -> Gathered<T> {
+        let asking = members.addresses.iter().map(async |(instance, address)| {
+            let answer = self.get(*address, path).await;
+            (instance.clone(), answer)
+        });
+        let answers: Vec<_> = stream::iter(asking)
+            .buffer_unordered(MAX_ASKED)
+            .collect()
+            .await;
+        let mut gathered = Gathered {
+            heard: BTreeMap::new(),
+            silent: members.unreadable.clone(),
+            unlisted: members.unlisted.clone(),
+        };
+        for (instance, answer) in answers {
+            match answer {
+                Ok(answer) => {
+                    gathered.heard.insert(instance, answer);
+                }
+                Err(error) => gathered.silent.push(Silence {
+                    instance: instance.to_string(),
+                    reason: error.to_string(),
+                }),
+            }
+        }
+        gathered.silent.sort_by(|a, b| a.instance.cmp(&b.instance));
+        gathered
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: id::Endpoint, path: &str) -> Result<T> {
+        let whole = async {
+            let response = self.http.get(format!("http://{address}{path}")).send();
+            let response = response.await.map_err(|e| unanswered(address, &e))?;
+            let body = read_body(address, response).await?;
+            serde_json::from_slice(&body).map_err(|e| Error::Decode {
+                step: "answer",
+                peer: address.to_string(),
+                reason: e.to_string(),
+            })
+        };
+        tokio::time::timeout(self.timeout, whole)
+            .await
+            .unwrap_or_else(|_| Err(silent(address, "timed out")))
+    }
+}
+
+impl Members {
+    fn add(&mut self, entry: &Entry) {
+        match serde_json::from_slice::<Registration>(&entry.value) {
+            Ok(registration) => {
+                let instance = registration.holder.instance;
+                self.addresses.insert(instance, registration.status);
+            }
+            Err(error) => self.unreadable.push(Silence {
+                instance: key::last_part(&entry.key).to_owned(),
+                reason: format!("registration cannot be read: {error}"),
+            }),
+        }
+    }
+}
+
+fn silent(address: id::Endpoint, reason: impl ToString) -> Error {
+    Error::Unanswered {
+        step: "ask instance",
+        peer: address.to_string(),
+        reason: reason.to_string(),
+    }
+}
+
+/// The innermost error says what happened; the outer ones repeat the address.
+fn unanswered(address: id::Endpoint, error: &reqwest::Error) -> Error {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    silent(address, cause)
+}
+
+async fn read_body(address: id::Endpoint, mut response: Response) -> Result<Vec<u8>> {
+    let status = response.status();
+    if !status.is_success() {
+        return Err(silent(address, status));
+    }
+    let mut body = Vec::new();
+    loop {
+        let chunk = response.chunk().await;
+        let Some(chunk) = chunk.map_err(|e| unanswered(address, &e))? else {
+            return Ok(body);
+        };
+        // The tool runs beside other things; a broken instance must not fill its memory.
+        if body.len() + chunk.len() > MAX_ANSWER {
+            return Err(silent(address, "answer too long"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -100,6 +100,20 @@
     })
 }
 
+/// Deletes a key if it was last written at this revision.
+pub(crate) fn erase_request(key: &str, expected: u64) -> Value {
+    json!({
+        "compare": [{
+            "key": encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": expected.to_string(),
+        }],
+        "success": [{ "request_delete_range": { "key": encode(key) } }],
+        "failure": [{ "request_range": { "key": encode(key) } }],
+    })
+}
+
 pub(crate) fn watch_request(prefix: &str, from_revision: u64) -> Value {
     json!({
         "create_request": {
--- /dev/null
+++ b/src/query/service.rs
@@ -0,0 +1,29 @@
+//! Services as they stand.
+
+use crate::document;
+use crate::document::Envelope;
+use crate::error::Result;
+use crate::id;
+use crate::key;
+use crate::platform::Client;
+use crate::query::stored;
+use crate::query::stored::Line;
+
+/// One service.
+///
+/// # Errors
+///
+/// Fails as [`stored::require`] does.
+pub async fn get(client: &Client, name: &id::Service) -> Result<Envelope<document::Service>> {
+    let stored = stored::require(client, &key::service(name)).await?;
+    Ok(stored.envelope)
+}
+
+/// All services.
+///
+/// # Errors
+///
+/// Fails when the platform gives no answer.
+pub async fn list(client: &Client) -> Result<Vec<Line<document::Service>>> {
+    stored::list(client, key::SERVICES).await
+}
--- /dev/null
+++ b/src/query/stored.rs
@@ -0,0 +1,85 @@
+//! Documents as they stand in the platform.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::document::Envelope;
+use crate::error::Error;
+use crate::error::Result;
+use crate::key;
+use crate::platform::Client;
+use crate::platform::Entry;
+
+/// A document and the revision of the store at which it was written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stored<T> {
+    /// The document.
+    pub envelope: Envelope<T>,
+    /// What a compare-and-swap has to expect.
+    pub mod_revision: u64,
+}
+
+/// One line of a list of documents.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line<T> {
+    /// Name of the document.
+    pub name: String,
+    /// The document, if it can be read.
+    pub document: Option<Envelope<T>>,
+    /// Why it cannot be read.
+    pub unreadable: Option<String>,
+}
+
+/// Reads one document, if there is one.
+///
+/// # Errors
+///
+/// Fails when the platform gives no answer or the document cannot be read.
+pub async fn read<T: DeserializeOwned>(client: &Client, key: &str) -> Result<Option<Stored<T>>> {
+    let entry = client.get(key).await?;
+    entry.as_ref().map(decode).transpose()
+}
+
+/// Reads one document that has to be there.
+///
+/// # Errors
+///
+/// As [`read`], and [`Error::Refused`] when there is none.
+pub async fn require<T: DeserializeOwned>(client: &Client, key: &str) -> Result<Stored<T>> {
+    read(client, key).await?.ok_or_else(|| Error::Refused {
+        step: "read",
+        peer: key::document(key).to_owned(),
+        reason: "there is none".to_owned(),
+    })
+}
+
+/// Reads all documents under a prefix; one that cannot be read hides no other.
+///
+/// # Errors
+///
+/// Fails when the platform gives no answer.
+pub async fn list<T: DeserializeOwned>(client: &Client, prefix: &str) -> Result<Vec<Line<T>>> {
+    let listing = client.list(prefix).await?;
+    Ok(listing.entries.iter().map(line).collect())
+}
+
+fn line<T: DeserializeOwned>(entry: &Entry) -> Line<T> {
+    let decoded = decode(entry);
+    Line {
+        name: key::last_part(&entry.key).to_owned(),
+        unreadable: decoded.as_ref().err().map(ToString::to_string),
+        document: decoded.ok().map(|stored| stored.envelope),
+    }
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(entry: &Entry) -> Result<Stored<T>> {
+    let envelope = serde_json::from_slice(&entry.value).map_err(|e| Error::Decode {
+        step: "document",
+        peer: key::document(&entry.key).to_owned(),
+        reason: e.to_string(),
+    })?;
+    Ok(Stored {
+        envelope,
+        mod_revision: entry.mod_revision,
+    })
+}
--- /dev/null
+++ b/src/render.rs
@@ -0,0 +1,368 @@
+//! Results as tables for people and as JSON for programs.
+//!
+//! JSON is the result itself; tables leave out what does not help at a glance.
+
+use std::fmt;
+use std::str::FromStr;
+
+use comfy_table::Table;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::command::change::Change;
+use crate::command::change::Outcome;
+use crate::command::drain;
+use crate::command::drain::Drain;
+use crate::document;
+use crate::document::Envelope;
+use crate::error::Error;
+use crate::error::Result;
+use crate::fleet::Gathered;
+use crate::fleet::Silence;
+use crate::query::departure::Departure;
+use crate::query::explain::Account;
+use crate::query::profile::Diff;
+use crate::query::profile::fields;
+use crate::query::rollout::Rollout;
+use crate::query::stored::Line;
+use crate::status::Status;
+
+/// In place of a value that is not there.
+const NONE: &str = "-";
+
+/// Form of what is printed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Output {
+    /// Tables.
+    #[default]
+    Table,
+    /// One JSON value.
+    Json,
+}
+
+impl FromStr for Output {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err(Error::Decode {
+                step: "output",
+                peer: text.to_owned(),
+                reason: "want table or json".to_owned(),
+            }),
+        }
+    }
+}
+
+impl fmt::Display for Output {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Table => "table",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl Output {
+    /// The text for a result, with `table` for people.
+    pub fn text<T: Serialize>(self, result: &T, table: impl FnOnce(&T) -> String) -> String {
+        match self {
+            Self::Table => table(result),
+            // Results are plain data with text keys, which JSON can always hold.
+            Self::Json => serde_json::to_string_pretty(result).unwrap_or_default(),
+        }
+    }
+}
+
+fn new<const N: usize>(header: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY).set_header(header);
+    table
+}
+
+fn optional(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| NONE.to_owned(), |value| value.to_string())
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        value => value.to_string(),
+    }
+}
+
+fn yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Joins parts, leaving out the empty ones.
+fn join(parts: impl IntoIterator<Item = String>) -> String {
+    let parts: Vec<_> = parts.into_iter().filter(|part| !part.is_empty()).collect();
+    parts.join("\n")
+}
+
+/// One document, a row for each field.
+pub fn envelope<T: Serialize>(envelope: &Envelope<T>) -> String {
+    let mut table = new(["field", "value"]);
+    table.add_row(["(revision)", &envelope.revision.to_string()]);
+    table.add_row(["(operator)", envelope.operator.as_str()]);
+    for (field, value) in fields(&envelope.body) {
+        table.add_row([field, plain(&value)]);
+    }
+    table.to_string()
+}
+
+/// A list of profiles, or the history of one.
+pub fn profiles(lines: &[Line<document::Profile>]) -> String {
+    let mut table = new(["name", "revision", "operator", "policy", "deadline", "note"]);
+    for line in lines {
+        let document = line.document.as_ref();
+        table.add_row([
+            line.name.clone(),
+            optional(document.map(|d| d.revision)),
+            optional(document.map(|d| &d.operator)),
+            optional(document.and_then(|d| fields(&d.body).get("policy").map(plain))),
+            optional(document.map(|d| format!("{} ms", d.body.deadline_ms))),
+            line.unreadable.clone().unwrap_or_default(),
+        ]);
+    }
+    table.to_string()
+}
+
+/// A list of services.
+pub fn services(lines: &[Line<document::Service>]) -> String {
+    let mut table = new(["name", "revision", "operator", "profile", "address", "note"]);
+    for line in lines {
+        let document = line.document.as_ref();
+        table.add_row([
+            line.name.clone(),
+            optional(document.map(|d| d.revision)),
+            optional(document.map(|d| &d.operator)),
+            optional(document.map(|d| &d.body.profile)),
+            optional(document.map(|d| d.body.address)),
+            line.unreadable.clone().unwrap_or_default(),
+        ]);
+    }
+    table.to_string()
+}
+
+/// A profile against a file.
+pub fn diff(diff: &Diff) -> String {
+    if diff.differences.is_empty() {
+        return format!("same as revision {} by {}", diff.revision, diff.operator);
+    }
+    let stored = format!("revision {} by {}", diff.revision, diff.operator);
+    let mut table = new(["field", &stored, "file"]);
+    for difference in &diff.differences {
+        let (stored, file) = (&difference.stored, &difference.file);
+        table.add_row([&difference.field, &plain(stored), &plain(file)]);
+    }
+    table.to_string()
+}
+
+/// A change and what became of it.
+pub fn change<T: Serialize>(change: &Change<T>) -> String {
+    let document = &change.document;
+    let told = match &change.outcome {
+        Outcome::Accepted { ours, replaced_by } => {
+            let accepted = format!("accepted: {document} revision {}", ours.revision);
+            let replaced = replaced_by.as_ref().map(|later| {
+                let (revision, operator) = (later.revision, &later.operator);
+                format!("replaced since by revision {revision} of {operator}")
+            });
+            join([accepted, replaced.unwrap_or_default()])
+        }
+        Outcome::Refused { ours, first } => join([
+            format!("refused: {document}: another change was accepted first"),
+            sides(ours, first.as_ref(), "accepted first"),
+        ]),
+        Outcome::Unknown { ours, found } => join([
+            format!(
+                "unknown: {document}: no answer, and reading back does not tell; \
+                 ours may stand or still come to"
+            ),
+            sides(ours, found.as_ref(), "found"),
+        ]),
+    };
+    join([told, notes(&change.notes)])
+}
+
+/// Both sides of a race, a row for each field.
+fn sides<T: Serialize>(
+    ours: &Envelope<T>,
+    theirs: Option<&Envelope<T>>,
+    their_title: &str,
+) -> String {
+    let mut table = new(["field", "ours", their_title]);
+    let their_fields = theirs.map(|theirs| fields(&theirs.body));
+    table.add_row([
+        "(revision)".to_owned(),
+        ours.revision.to_string(),
+        optional(theirs.map(|theirs| theirs.revision)),
+    ]);
+    table.add_row([
+        "(operator)".to_owned(),
+        ours.operator.to_string(),
+        optional(theirs.map(|theirs| &theirs.operator)),
+    ]);
+    for (field, value) in fields(&ours.body) {
+        let theirs = their_fields.as_ref().and_then(|fields| fields.get(&field));
+        table.add_row([field, plain(&value), optional(theirs.map(plain))]);
+    }
+    table.to_string()
+}
+
+/// How far a change has come.
+pub fn rollout(rollout: &Rollout) -> String {
+    let (document, revision) = (&rollout.document, rollout.revision);
+    if rollout.is_whole() {
+        let count = rollout.in_force.len();
+        return format!("in force at all {count} instances: {document} revision {revision}");
+    }
+    let mut table = new(["instance", "in force", "note"]);
+    for instance in &rollout.in_force {
+        table.add_row([instance.as_str(), "yes", ""]);
+    }
+    for behind in &rollout.behind {
+        let found = format!("no: has revision {}", optional(behind.revision));
+        let refused = behind.refused.clone().unwrap_or_default();
+        table.add_row([behind.instance.as_str(), &found, &refused]);
+    }
+    for silence in &rollout.silent {
+        table.add_row([&silence.instance, "not heard", &silence.reason]);
+    }
+    join([
+        format!("not in force everywhere yet: {document} revision {revision}"),
+        table.to_string(),
+        unlisted(rollout.unlisted.as_deref()),
+    ])
+}
+
+/// An order to drain and what became of it.
+pub fn drain(drain: &Drain) -> String {
+    let document = &drain.document;
+    let operator = optional(drain.wish.as_ref().map(|wish| &wish.operator));
+    let told = match (drain.outcome, drain.undo) {
+        (drain::Outcome::Accepted, false) => format!("accepted: {document} by {operator}"),
+        (drain::Outcome::Accepted, true) => format!("accepted: {document} is gone"),
+        (drain::Outcome::Refused, false) => {
+            format!("refused: {document}: another order was accepted first")
+        }
+        (drain::Outcome::Refused, true) => {
+            format!("refused: {document}: {operator} has ordered it anew")
+        }
+        (drain::Outcome::Unknown, _) => {
+            format!("unknown: {document}: no answer, and reading back does not tell")
+        }
+    };
+    join([told, notes(&drain.notes)])
+}
+
+/// How far an instance has come.
+pub fn departure(departure: &Departure) -> String {
+    let reached = if departure.reached { "done" } else { "not yet" };
+    format!("{reached}: {}: {}", departure.instance, departure.seen)
+}
+
+/// State of every instance.
+pub fn status(gathered: &Gathered<Status>) -> String {
+    let mut table = new([
+        "instance", "zone", "ready", "leaving", "homes", "backups", "alone", "requests", "feeds",
+        "platform",
+    ]);
+    for status in gathered.heard.values() {
+        let silent = status.platform_silent_ms;
+        table.add_row([
+            status.holder.to_string(),
+            status.zone.to_string(),
+            yes_no(status.ready).to_owned(),
+            yes_no(status.leaving).to_owned(),
+            status.homes.to_string(),
+            status.backups.to_string(),
+            status.alone.to_string(),
+            status.in_progress.to_string(),
+            status.feeds.to_string(),
+            optional(silent.map(|silent| format!("{silent} ms ago"))),
+        ]);
+    }
+    join([
+        table.to_string(),
+        documents(gathered),
+        absent(&gathered.silent, gathered.unlisted.as_deref()),
+    ])
+}
+
+/// Revisions in force and refused, a row for each document and instance.
+fn documents(gathered: &Gathered<Status>) -> String {
+    let mut table = new(["instance", "document", "revision", "refused"]);
+    for (instance, status) in &gathered.heard {
+        let refused_only = status.refused.keys();
+        let documents: std::collections::BTreeSet<_> =
+            status.revisions.keys().chain(refused_only).collect();
+        for document in documents {
+            table.add_row([
+                instance.to_string(),
+                document.clone(),
+                optional(status.revisions.get(document)),
+                optional(status.refused.get(document)),
+            ]);
+        }
+    }
+    match table.row_count() {
+        0 => String::new(),
+        _ => table.to_string(),
+    }
+}
+
+/// What was done for a caller.
+pub fn account(account: &Account) -> String {
+    let mut table = new([
+        "age", "instance", "reason", "request", "slice", "epoch", "revision", "server", "took",
+    ]);
+    for step in &account.steps {
+        let trace = &step.trace;
+        table.add_row([
+            format!("{} ms", trace.age_ms),
+            step.instance.to_string(),
+            trace.reason.clone(),
+            optional(trace.request.as_ref()),
+            optional(trace.slice),
+            optional(trace.epoch),
+            optional(trace.revision),
+            optional(trace.server.as_ref()),
+            optional(trace.elapsed_ms.map(|elapsed| format!("{elapsed} ms"))),
+        ]);
+    }
+    let absent = absent(&account.silent, account.unlisted.as_deref());
+    join([table.to_string(), absent])
+}
+
+/// Raw answers, a row for each instance.
+pub fn answers(gathered: &Gathered<Value>) -> String {
+    let mut table = new(["instance", "answer"]);
+    for (instance, answer) in &gathered.heard {
+        table.add_row([instance.to_string(), answer.to_string()]);
+    }
+    let absent = absent(&gathered.silent, gathered.unlisted.as_deref());
+    join([table.to_string(), absent])
+}
+
+fn absent(silent: &[Silence], reason: Option<&str>) -> String {
+    let silent = silent
+        .iter()
+        .map(|silence| format!("not heard: {}: {}", silence.instance, silence.reason));
+    join(silent.chain([unlisted(reason)]))
+}
+
+fn unlisted(reason: Option<&str>) -> String {
+    reason.map_or_else(String::new, |reason| {
+        format!("the list of instances may be incomplete: {reason}")
+    })
+}
+
+fn notes(notes: &[String]) -> String {
+    join(notes.iter().map(|note| format!("note: {note}")))
+}
--- a/src/resolution.rs
+++ b/src/resolution.rs
@@ -99,18 +99,51 @@
         match write.send(self).await {
             Ok(Swap::Done(revision)) => Ok(Resolved::Done(revision)),
             Ok(Swap::Lost(found)) => Ok(Resolved::Lost(found)),
-            Err(Error::Unanswered { .. }) => Ok(self.resolve(&write).await),
+            Err(Error::Unanswered { .. }) => {
+                Ok(self.resolve(async || write.look(self).await).await)
+            }
             Err(error) => Err(error),
         }
     }
 
-    async fn resolve(&self, write: &Write<'_>) -> Resolved {
+    /// Deletes a key as [`Client::erase`] does and, if the answer is lost, finds
+    /// out what became of it, within [`crate::platform::Options::resolve_within`].
+    ///
+    /// A key that is found at the expected revision may still be deleted by the
+    /// first copy, so the same deletion is sent again. One that is not found
+    /// there is safe from both copies, as no revision comes twice.
+    ///
+    /// # Errors
+    ///
+    /// After an error nothing was deleted and nothing will be.
+    pub async fn erase_and_resolve(&self, key: &str, expected: u64) -> Result<Resolved> {
+        let erase = async || {
+            Ok(match self.erase(key, expected).await? {
+                Swap::Done(revision) => Resolved::Done(revision),
+                Swap::Lost(found) => Resolved::Lost(found),
+            })
+        };
+        match erase().await {
+            Err(Error::Unanswered { .. }) => {}
+            outcome => return outcome,
+        }
+        let look = async || {
+            Ok(match erase().await? {
+                Resolved::Lost(found) => Resolved::Overtaken(found),
+                resolved => resolved,
+            })
+        };
+        Ok(self.resolve(look).await)
+    }
+
+    /// Looks again until that succeeds or the time is over.
+    async fn resolve(&self, look: impl AsyncFn() -> Result<Resolved>) -> Resolved {
         let options = self.options();
         let until = Instant::now() + options.resolve_within;
         let mut backoff = Backoff::new(options.backoff, options.seed);
         let looking = async {
             loop {
-                if let Ok(resolved) = write.look(self).await {
+                if let Ok(resolved) = look().await {
                     return resolved;
                 }
                 time::sleep(backoff.next_delay()).await;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::allowance::Rate;
 use crate::checks;
@@ -367,6 +368,15 @@
     }
 }
 
+/// Reads the text of a file that has no checks beyond its fields' own.
+///
+/// # Errors
+///
+/// [`Error::Field`] for the first field that is refused.
+pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T> {
+    Source::new(file, text)?.parse()
+}
+
 /// Reads a settings or document file.
 ///
 /// # Errors
