--- a/src/bin/godwitreel/app.rs
+++ b/src/bin/godwitreel/app.rs
@@ -19,6 +19,8 @@
 
 /// Time that `--wait` waits unless it says otherwise.
 const WAIT: Duration = Duration::from_secs(30);
+/// Longest time that `--wait` takes, in seconds: a day.
+const LONGEST_WAIT: u64 = 86_400;
 
 /// Options of every command.
 #[derive(Clone, Debug, Default)]
@@ -239,6 +241,7 @@
         .help("Wait until it is in force at every instance, 30 seconds unless given")
         .argument::<u64>("SECONDS")
         .adjacent()
+        .guard(|seconds| *seconds <= LONGEST_WAIT, "want 0 to 86400")
         .map(Duration::from_secs);
     let usual = long("wait").req_flag(WAIT).hide();
     construct!([limit, usual]).optional()
--- a/src/bin/godwitreel/config.rs
+++ b/src/bin/godwitreel/config.rs
@@ -16,6 +16,8 @@
 
 /// Time for an instance's answer unless the file says otherwise, in milliseconds.
 const INSTANCE_TIMEOUT_MS: u64 = 2_000;
+/// Longest such time, in milliseconds.
+const LONGEST_TIMEOUT_MS: u64 = 60_000;
 
 /// The file.
 #[derive(Default, Deserialize)]
@@ -52,6 +54,10 @@
             given => given.to_vec(),
         };
         let timeout_ms = file.instance_timeout_ms.unwrap_or(INSTANCE_TIMEOUT_MS);
+        if !(1..=LONGEST_TIMEOUT_MS).contains(&timeout_ms) {
+            let allowed = format!("1 to {LONGEST_TIMEOUT_MS}");
+            return Err(refuse("instance_timeout_ms", timeout_ms, &allowed));
+        }
         Ok(Self {
             platform,
             operator: common.operator.clone().or(file.operator),
@@ -63,16 +69,17 @@
 
     /// The operator's name, which every change carries.
     pub(crate) fn operator(&self) -> Result<&id::Operator> {
-        self.operator
-            .as_ref()
-            .ok_or_else(|| missing("operator", "--operator NAME, or operator in the settings"))
+        self.operator.as_ref().ok_or_else(|| {
+            let allowed = "--operator NAME, or operator in the settings";
+            refuse("operator", "missing", allowed)
+        })
     }
 
     /// The platform's addresses.
     pub(crate) fn platform(&self) -> Result<Vec<Base>> {
         if self.platform.is_empty() {
             let allowed = "--platform http://IP:PORT, or platform in the settings";
-            return Err(missing("platform", allowed));
+            return Err(refuse("platform", "missing", allowed));
         }
         Ok(self.platform.clone())
     }
@@ -82,12 +89,12 @@
     settings::parse(path, &settings::read(path)?)
 }
 
-fn missing(field: &str, allowed: &str) -> Error {
+fn refuse(field: &str, value: impl ToString, allowed: &str) -> Error {
     Error::Field {
         file: "settings".into(),
         line: 0,
         field: field.to_owned(),
-        value: "missing".to_owned(),
+        value: value.to_string(),
         allowed: allowed.to_owned(),
     }
 }
--- a/src/bin/godwitreel/main.rs
+++ b/src/bin/godwitreel/main.rs
@@ -46,7 +46,7 @@
         "error": error.to_string(),
     });
     if output == godwitreel::render::Output::Json {
-        println!("{failure:#}");
+        run::say(&format!("{failure:#}"));
     }
     eprintln!("godwitreel: {error}");
     exit.into()
--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -1,5 +1,6 @@
 //! Carries one action out and prints its result.
 
+use std::io::Write;
 use std::path::Path;
 use std::time::Duration;
 
@@ -40,7 +41,7 @@
 /// Carries an action out.
 pub(crate) async fn run(action: Action, config: &Config) -> Result<Exit> {
     if let Action::Completions(shell) = action {
-        print!("{}", app::script(shell));
+        say(&app::script(shell));
         return Ok(Exit::Done);
     }
     let fleet = fleet(config)?;
@@ -73,7 +74,12 @@
 }
 
 fn print<T: Serialize>(config: &Config, result: &T, table: impl FnOnce(&T) -> String) {
-    println!("{}", config.output.text(result, table));
+    say(&config.output.text(result, table));
+}
+
+/// Prints a text; a reader that has gone away must not hide the exit code.
+pub(crate) fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
 }
 
 async fn profile(action: Profile, config: &Config, fleet: &Fleet) -> Result<Exit> {
--- a/src/command/history.rs
+++ b/src/command/history.rs
@@ -11,6 +11,7 @@
 use crate::error::Result;
 use crate::key;
 use crate::platform::Client;
+use crate::platform::Resolved;
 
 /// Envelopes kept of each profile.
 const KEPT: usize = 10;
@@ -23,23 +24,33 @@
 ) -> Vec<String> {
     let mut notes = Vec::new();
     for envelope in envelopes {
-        if let Err(error) = write(client, prefix, envelope).await {
-            let revision = envelope.revision;
-            notes.push(format!("revision {revision} not kept in history: {error}"));
+        let revision = envelope.revision;
+        match write(client, prefix, envelope).await {
+            Ok(Resolved::Unknown) => notes.push(format!(
+                "revision {revision} may be missing in history: no answer"
+            )),
+            // An envelope that is there already is the same one, as a revision
+            // is given once.
+            Ok(_) => {}
+            Err(error) => {
+                notes.push(format!("revision {revision} not kept in history: {error}"));
+            }
         }
     }
     if let Err(error) = prune(client, prefix).await {
-        notes.push(format!("old revisions still in history: {error}"));
+        notes.push(format!("old revisions may still be in history: {error}"));
     }
     notes
 }
 
-/// An envelope that is there already is the same one, as a revision is given once.
-async fn write<T: Serialize>(client: &Client, prefix: &str, envelope: &Envelope<T>) -> Result<()> {
+async fn write<T: Serialize>(
+    client: &Client,
+    prefix: &str,
+    envelope: &Envelope<T>,
+) -> Result<Resolved> {
     let key = format!("{prefix}{}", envelope.revision);
     let value = change::encode(&key, envelope)?;
-    client.swap(&key, None, &value, None).await?;
-    Ok(())
+    client.swap_and_resolve(&key, None, &value, None).await
 }
 
 async fn prune(client: &Client, prefix: &str) -> Result<()> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
 use reqwest::Response;
@@ -21,8 +22,10 @@
 use crate::key;
 use crate::platform::Client;
 use crate::platform::Entry;
+use crate::transport;
 
-/// Largest answer of an instance that is read, in bytes.
+/// Largest answer of an instance that is read, in bytes; a broken one must not
+/// fill the memory of the operator's machine.
 const MAX_ANSWER: usize = 4 << 20;
 /// Instances asked at the same time.
 const MAX_ASKED: usize = 32;
@@ -174,7 +177,9 @@
     async fn get<T: DeserializeOwned>(&self, address: id::Endpoint, path: &str) -> Result<T> {
         let whole = async {
             let response = self.http.get(format!("http://{address}{path}")).send();
-            let response = response.await.map_err(|e| unanswered(address, &e))?;
+            let response = response
+                .await
+                .map_err(|e| silent(address, transport::root_cause(&e)))?;
             let body = read_body(address, response).await?;
             serde_json::from_slice(&body).map_err(|e| Error::Decode {
                 step: "answer",
@@ -211,30 +216,11 @@
     }
 }
 
-/// The innermost error says what happened; the outer ones repeat the address.
-fn unanswered(address: id::Endpoint, error: &reqwest::Error) -> Error {
-    let mut cause: &dyn std::error::Error = error;
-    while let Some(source) = cause.source() {
-        cause = source;
-    }
-    silent(address, cause)
-}
-
-async fn read_body(address: id::Endpoint, mut response: Response) -> Result<Vec<u8>> {
+async fn read_body(address: id::Endpoint, response: Response) -> Result<Bytes> {
     let status = response.status();
     if !status.is_success() {
         return Err(silent(address, status));
     }
-    let mut body = Vec::new();
-    loop {
-        let chunk = response.chunk().await;
-        let Some(chunk) = chunk.map_err(|e| unanswered(address, &e))? else {
-            return Ok(body);
-        };
-        // The tool runs beside other things; a broken instance must not fill its memory.
-        if body.len() + chunk.len() > MAX_ANSWER {
-            return Err(silent(address, "answer too long"));
-        }
-        body.extend_from_slice(&chunk);
-    }
+    let body = transport::read_limited(response, MAX_ANSWER).await;
+    body.map_err(|reason| silent(address, reason))
 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -270,7 +270,7 @@
 }
 
 /// The innermost error, which is the one that says something.
-fn root_cause(error: &reqwest::Error) -> String {
+pub(crate) fn root_cause(error: &reqwest::Error) -> String {
     let mut cause: &dyn std::error::Error = error;
     while let Some(source) = cause.source() {
         cause = source;
@@ -298,17 +298,22 @@
     })
 }
 
-async fn read_body(call: &Call, base: &Base, mut response: Response) -> Result<Bytes> {
+async fn read_body(call: &Call, base: &Base, response: Response) -> Result<Bytes> {
+    let body = read_limited(response, MAX_ANSWER).await;
+    body.map_err(|reason| call.unanswered(base, reason))
+}
+
+/// Reads a body of at most so many bytes; the error says what was seen.
+pub(crate) async fn read_limited(
+    mut response: Response,
+    most: usize,
+) -> std::result::Result<Bytes, String> {
     let mut body = BytesMut::new();
-    loop {
-        let chunk = response.chunk().await;
-        let chunk = chunk.map_err(|e| call.unanswered(base, root_cause(&e)))?;
-        let Some(chunk) = chunk else {
-            return Ok(body.freeze());
-        };
-        if body.len() + chunk.len() > MAX_ANSWER {
-            return Err(call.unanswered(base, "answer too long"));
+    while let Some(chunk) = response.chunk().await.map_err(|e| root_cause(&e))? {
+        if body.len() + chunk.len() > most {
+            return Err("answer too long".to_owned());
         }
         body.extend_from_slice(&chunk);
     }
+    Ok(body.freeze())
 }
