--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -13,6 +13,7 @@
 use crate::utils::Bench;
 use crate::utils::run;
 use crate::utils::status;
+use crate::utils::until;
 
 /// Key of the profile that most tests change.
 const KEY: &str = "godwitreel/profiles/open";
@@ -128,6 +129,30 @@
     assert_eq!(bench.stored(KEY), Some(won["ours"].clone()));
 }
 
+// A change is accepted after the tool has read revision 1 and before its own
+// write arrives. Though the operator expects nothing, the write must be refused
+// for the revision that was read; a later reading would let it overwrite a
+// change that its operator has never seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_accepted_between_read_and_write_is_not_overwritten() {
+    let bench = Bench::start().await;
+    let (first, second) = (bench.profile(1_000), bench.profile(2_000));
+    bench.run(&["profile", "apply", "open", &first]).await;
+    let mut theirs = bench.stored(KEY).unwrap();
+    theirs["revision"] = 2.into();
+    theirs["operator"] = "hana".into();
+    let reads = bench.platform.counters().reads;
+    bench.platform.slow(STEP);
+    let arguments = ["profile", "apply", "open", &second];
+    let (refused, _) = tokio::join!(bench.run(&arguments), async {
+        until(|| bench.platform.counters().reads > reads).await;
+        bench.platform.put(KEY, theirs.to_string());
+    });
+    assert_eq!(refused.code, 2, "{refused:?}");
+    assert_eq!(refused.json()["first"], theirs);
+    assert_eq!(bench.stored(KEY), Some(theirs));
+}
+
 // An operator's change expects revision 1, but two more were accepted since. The
 // one to show is the first of them, which took the operator's place, and not
 // the latest, which may have nothing to do with it.
@@ -397,9 +422,7 @@
     bench.platform.slow(STEP);
     let arguments = ["server", "drain", "d1", "--undo"];
     let (refused, _) = tokio::join!(bench.run(&arguments), async {
-        while bench.stored(wish).is_some() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        until(|| bench.stored(wish).is_none()).await;
         bench.platform.put(wish, anew.to_string());
     });
     assert_eq!(refused.code, 2, "{refused:?}");
--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -125,18 +125,21 @@
 
     /// Waits until a key is there.
     pub(crate) async fn seen(&self, key: &str) -> Value {
-        let looking = async {
-            loop {
-                if let Some(value) = self.stored(key) {
-                    return value;
-                }
-                tokio::time::sleep(LOOK_EVERY).await;
-            }
-        };
-        tokio::time::timeout(SEEN_LIMIT, looking).await.unwrap()
+        until(|| self.stored(key).is_some()).await;
+        self.stored(key).unwrap()
     }
 }
 
+/// Waits until this holds.
+pub(crate) async fn until(holds: impl Fn() -> bool) {
+    let looking = async {
+        while !holds() {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    };
+    tokio::time::timeout(SEEN_LIMIT, looking).await.unwrap();
+}
+
 /// Runs the program. It blocks a thread of its own, as the platform that it
 /// talks to runs on this runtime.
 pub(crate) async fn run(arguments: Vec<&str>) -> Run {
