--- a/src/call.rs
+++ b/src/call.rs
@@ -72,8 +72,10 @@
 }
 
 #[derive(Debug, Serialize)]
-struct Success {
-    request_put: Put,
+#[serde(untagged)]
+enum Success {
+    Write { request_put: Put },
+    Delete { request_delete_range: Range },
 }
 
 #[derive(Debug, Serialize)]
@@ -181,7 +183,26 @@
     };
     Body::Txn(Txn {
         compare: [compare],
-        success: [Success { request_put: put }],
+        success: [Success::Write { request_put: put }],
+        failure: [Failure {
+            request_range: one(key),
+        }],
+    })
+}
+
+/// Deletes a key if it was last written at this revision; shows it otherwise.
+pub(crate) fn erase(key: &str, expected: u64) -> Body {
+    let compare = Compare {
+        key: data(key.as_bytes()),
+        target: "MOD",
+        result: "EQUAL",
+        mod_revision: Number(expected),
+    };
+    Body::Txn(Txn {
+        compare: [compare],
+        success: [Success::Delete {
+            request_delete_range: one(key),
+        }],
         failure: [Failure {
             request_range: one(key),
         }],
--- a/src/report.rs
+++ b/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
 
@@ -9,6 +10,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
+use crate::transport;
 
 /// Time for one instance's answer.
 pub const TIMEOUT: Duration = Duration::from_secs(2);
@@ -90,20 +92,14 @@
     Ok(sample)
 }
 
-async fn fetch(client: &reqwest::Client, endpoint: id::Endpoint) -> Result<Vec<u8>> {
+async fn fetch(client: &reqwest::Client, endpoint: id::Endpoint) -> Result<Bytes> {
     let failed = |error: reqwest::Error| failure(endpoint, &error);
     let response = client.get(format!("http://{endpoint}/burn")).send().await;
-    let mut response = response
+    let response = response
         .and_then(reqwest::Response::error_for_status)
         .map_err(failed)?;
-    let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await.map_err(failed)? {
-        body.extend_from_slice(&chunk);
-        if body.len() > MAX_ANSWER {
-            return Err(malformed(endpoint, format!("more than {MAX_ANSWER} bytes")));
-        }
-    }
-    Ok(body)
+    let body = transport::read_limited(response, MAX_ANSWER).await;
+    body.map_err(|reason| malformed(endpoint, reason))
 }
 
 fn failure(endpoint: id::Endpoint, error: &reqwest::Error) -> Error {
--- a/src/resolution.rs
+++ b/src/resolution.rs
@@ -74,6 +74,43 @@
     }
 }
 
+/// One deletion.
+struct Erasure<'a> {
+    key: &'a str,
+    expected: u64,
+}
+
+impl Erasure<'_> {
+    async fn send(&self, client: &Client) -> Result<Resolved> {
+        Ok(match client.erase(self.key, self.expected).await? {
+            Swap::Done(revision) => Resolved::Done(revision),
+            Swap::Lost(found) => Resolved::Lost(found),
+        })
+    }
+
+    async fn look(&self, client: &Client) -> Result<Resolved> {
+        Ok(match self.send(client).await? {
+            Resolved::Lost(found) => Resolved::Overtaken(found),
+            resolved => resolved,
+        })
+    }
+}
+
+/// What was sent and had no answer.
+enum Sent<'a> {
+    Write(Write<'a>),
+    Erasure(Erasure<'a>),
+}
+
+impl Sent<'_> {
+    async fn look(&self, client: &Client) -> Result<Resolved> {
+        match self {
+            Self::Write(write) => write.look(client).await,
+            Self::Erasure(erasure) => erasure.look(client).await,
+        }
+    }
+}
+
 impl Client {
     /// Writes as [`Client::swap`] does and, if the answer is lost, finds out what
     /// became of the write, within [`crate::platform::Options::resolve_within`].
@@ -99,18 +136,37 @@
         match write.send(self).await {
             Ok(Swap::Done(revision)) => Ok(Resolved::Done(revision)),
             Ok(Swap::Lost(found)) => Ok(Resolved::Lost(found)),
-            Err(Error::Unanswered { .. }) => Ok(self.resolve(&write).await),
+            Err(Error::Unanswered { .. }) => Ok(self.resolve(&Sent::Write(write)).await),
             Err(error) => Err(error),
         }
     }
 
-    async fn resolve(&self, write: &Write<'_>) -> Resolved {
+    /// Deletes a key as [`Client::erase`] does and, if the answer is lost, finds
+    /// out what became of it, within [`crate::platform::Options::resolve_within`].
+    ///
+    /// A key that is found at the expected revision may still be deleted by the
+    /// first copy, so the same deletion is sent again. One that is not found
+    /// there is safe from both copies, as no revision comes twice.
+    ///
+    /// # Errors
+    ///
+    /// After an error nothing was deleted and nothing will be.
+    pub async fn erase_and_resolve(&self, key: &str, expected: u64) -> Result<Resolved> {
+        let erasure = Erasure { key, expected };
+        match erasure.send(self).await {
+            Err(Error::Unanswered { .. }) => Ok(self.resolve(&Sent::Erasure(erasure)).await),
+            outcome => outcome,
+        }
+    }
+
+    /// Looks again until that succeeds or the time is over.
+    async fn resolve(&self, sent: &Sent<'_>) -> Resolved {
         let options = self.options();
         let until = Instant::now() + options.resolve_within;
         let mut backoff = Backoff::new(options.backoff, options.seed);
         let looking = async {
             loop {
-                if let Ok(resolved) = write.look(self).await {
+                if let Ok(resolved) = sent.look(self).await {
                     return resolved;
                 }
                 time::sleep(backoff.next_delay()).await;
