--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -137,11 +137,13 @@
     let mut ledger = ledger(start);
     ledger.good(at(400), &service("booking"));
     ledger.good(at(395), &service("booking"));
-    ledger.good(at(20), &service("booking"));
+    ledger.good(at(110), &service("booking"));
+    ledger.good(at(109), &service("booking"));
     assert_eq!(
         counts(&ledger.sample(at(400))),
-        [(2, 0), (3, 0), (3, 0), (3, 0)]
+        [(3, 0), (4, 0), (4, 0), (4, 0)]
     );
+    assert_eq!(counts(&ledger.sample(at(410)))[0], (2, 0));
     assert_eq!(counts(&ledger.sample(at(695)))[0], (1, 0));
 }
 
