--- a/standin/tests/server.rs
+++ b/standin/tests/server.rs
@@ -10,6 +10,7 @@
 use coap_lite::Packet;
 use coap_lite::RequestType;
 use coap_lite::ResponseType;
+use coap_lite::block_handler::BlockValue;
 use coap_lite::option_value::OptionValueU32;
 use futures::future;
 use standin::caller;
@@ -20,6 +21,7 @@
 use standin::server::Handle;
 use standin::server::Settings;
 use support::PATIENCE;
+use support::any_port;
 use support::ask;
 use support::until;
 use tokio::net::UdpSocket;
@@ -47,6 +49,29 @@
     }
 }
 
+fn post(payload: &[u8]) -> Packet {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Request(RequestType::Post);
+    packet.header.set_type(MessageType::NonConfirmable);
+    packet.payload = payload.to_vec();
+    packet
+}
+
+async fn socket() -> UdpSocket {
+    UdpSocket::bind(any_port()).await.expect("a socket")
+}
+
+/// Sends a message as it is and waits for the answer.
+async fn exchange(server: &Handle, socket: &UdpSocket, packet: &Packet) -> Packet {
+    let datagram = packet.to_bytes().expect("a datagram");
+    let sent = socket.send_to(&datagram, server.address()).await;
+    sent.expect("it is sent");
+    let mut buffer = [0; 2_000];
+    let size = time::timeout(PATIENCE, socket.recv(&mut buffer)).await;
+    let size = size.expect("an answer").expect("an answer");
+    Packet::from_bytes(&buffer[..size]).expect("a message")
+}
+
 fn refused() -> Outcome {
     let retry_after = Duration::from_secs(2);
     Outcome::NotRun { retry_after }
@@ -116,23 +141,10 @@
     let mut first = caller.begin(RequestType::Post, "/x", "p-1").await;
     until("the slot is taken", || server.starts("p-1") == 1).await;
 
-    let mut packet = Packet::new();
-    packet.header.code = MessageClass::Request(RequestType::Post);
-    packet.header.set_type(MessageType::NonConfirmable);
+    let mut packet = post(b"p-2");
     let deadline = CoapOption::Unknown(server::DEADLINE_OPTION);
     packet.add_option_as(deadline, OptionValueU32(20));
-    packet.payload = b"p-2".to_vec();
-    let socket = UdpSocket::bind(support::any_port())
-        .await
-        .expect("a socket");
-    let datagram = packet.to_bytes().expect("a datagram");
-    let sent = socket.send_to(&datagram, server.address()).await;
-    sent.expect("it is sent");
-    let mut buffer = [0; 100];
-    let size = time::timeout(PATIENCE, socket.recv(&mut buffer)).await;
-    let size = size.expect("an answer").expect("an answer");
-    let answer = Packet::from_bytes(&buffer[..size]).expect("a message");
-
+    let answer = exchange(&server, &socket().await, &packet).await;
     let unavailable = MessageClass::Response(ResponseType::ServiceUnavailable);
     assert_eq!(answer.header.code, unavailable);
     assert!(code(&first.outcome(PATIENCE).await).is_some());
@@ -226,6 +238,23 @@
     assert!(server.all_starts().is_empty());
 }
 
+#[tokio::test]
+async fn an_upload_with_a_hole_is_incomplete() {
+    let (server, _) = start(|_| {}).await;
+    let socket = socket().await;
+    for (num, expected) in [
+        (0, ResponseType::Continue),
+        (2, ResponseType::RequestEntityIncomplete),
+    ] {
+        let mut packet = post(&[b'x'; 16]);
+        let block = BlockValue::new(num, num == 0, 16).expect("a block");
+        packet.add_option_as(CoapOption::Block1, block);
+        let answer = exchange(&server, &socket, &packet).await;
+        assert_eq!(answer.header.code, MessageClass::Response(expected));
+    }
+    assert!(server.all_starts().is_empty());
+}
+
 #[tokio::test]
 async fn a_request_for_another_service_is_counted() {
     let (server, _) = start(|_| {}).await;
