--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use godwitreel::Error;
 use godwitreel::Result;
 use godwitreel::command;
 use godwitreel::command::change::Change;
@@ -18,6 +19,7 @@
 use godwitreel::query::departure::Goal;
 use godwitreel::query::rollout::Rollout;
 use godwitreel::render;
+use godwitreel::render::Output;
 use godwitreel::settings;
 use serde::Serialize;
 
