--- a/src/control.rs
+++ b/src/control.rs
@@ -155,8 +155,12 @@
     migrating: BTreeMap<id::Slice, id::Holder>,
     yielded: BTreeMap<id::Slice, Instant>,
     asked: Option<Instant>,
-    home_since: HashMap<id::Slice, Instant>,
+    /// Since when slices are known to have lost their records.
+    blank_since: HashMap<id::Slice, Instant>,
     last_contact: Option<Instant>,
+    /// Last contact at which the platform listed this life.
+    listed_at: Option<Instant>,
+    ticked: Option<Instant>,
     silent: bool,
     leaving: bool,
     table_changed: bool,
@@ -178,8 +182,10 @@
             migrating: BTreeMap::new(),
             yielded: BTreeMap::new(),
             asked: None,
-            home_since: HashMap::new(),
+            blank_since: HashMap::new(),
             last_contact: None,
+            listed_at: None,
+            ticked: None,
             silent: true,
             leaving: false,
             table_changed: true,
@@ -200,6 +206,18 @@
         {
             let instance = registration.holder.instance.clone();
             self.registered.insert(instance, registration);
+            self.confirm_listing();
+        }
+    }
+
+    /// Others count from when this life is not listed any more, so its own time
+    /// must not run on by contact alone: a platform that lets it read but not renew
+    /// would let both go on.
+    fn confirm_listing(&mut self) {
+        let me = &self.settings.me;
+        let listed = self.registered.get(&me.instance);
+        if listed.is_some_and(|listed| listed.holder == *me) {
+            self.listed_at = self.last_contact;
         }
     }
 
@@ -241,15 +259,20 @@
     fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row) {
         let home = row.is_home(&self.settings.me);
         let backup = row.backup.clone();
-        if !self.table.advance(slice, row) {
+        let before = self.table.get(slice).cloned().unwrap_or_default();
+        if !self.table.advance(slice, row.clone()) {
             return;
         }
+        if !row.blank {
+            self.blank_since.remove(&slice);
+        } else if row.continues(&before) {
+            self.blank_since.entry(slice).or_insert(now);
+        } else {
+            self.blank_since.insert(slice, now);
+        }
         self.table_changed = true;
         self.yielded.remove(&slice);
-        if home {
-            self.home_since.entry(slice).or_insert(now);
-        } else {
-            self.home_since.remove(&slice);
+        if !home {
             self.joining.remove(&slice);
             self.migrating.remove(&slice);
         }
@@ -266,6 +289,7 @@
         }
         self.silent = false;
         self.last_contact = self.last_contact.max(Some(at));
+        self.confirm_listing();
     }
 
     /// The platform does not answer.
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -49,6 +49,7 @@
     /// Looks at everything and says what to do.
     pub fn tick(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
+        self.watch_pause(now);
         self.yielded.retain(|_, until| now < *until);
         self.watch_registrations(now);
         self.offer_view(now, &mut commands);
@@ -66,11 +67,26 @@
         commands
     }
 
+    /// Time in which this process did not run is no silence of the others: they
+    /// would all look dead at once, and their slices be taken from them.
+    fn watch_pause(&mut self, now: Instant) {
+        let ticked = self.ticked.replace(now).unwrap_or(now);
+        let pause = now.saturating_duration_since(ticked);
+        if pause < self.settings.suspect_after / 2 {
+            return;
+        }
+        for heard in self.heard.values_mut() {
+            heard.at = (heard.at + pause).min(now);
+        }
+        // Whoever was absent before may have been there meanwhile.
+        self.gone.clear();
+    }
+
     fn offer_view(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let mut view = View {
             authority_until: self
-                .last_contact
-                .map(|contact| contact + self.settings.isolation_limit),
+                .listed_at
+                .map(|listed| listed + self.settings.isolation_limit),
             ..View::default()
         };
         view.live.insert(self.settings.me.clone());
@@ -289,19 +305,25 @@
         };
         let target = self.migrating.get(&slice);
         let wrong = target.is_some_and(|target| target != backup);
-        let drop = self.is_dead(now, backup) || self.is_leaving_member(backup) || wrong;
-        drop.then(|| with(None))
+        if self.is_dead(now, backup) || self.is_leaving_member(backup) || wrong {
+            return Some(with(None));
+        }
+        // A mark that stays would start the window at instances that come later.
+        let over = row.blank && !self.is_blank(now, slice);
+        over.then(|| with(Some(backup.clone())))
     }
 
     fn is_blank(&self, now: Instant, slice: id::Slice) -> bool {
-        let since = self.home_since.get(&slice);
+        let since = self.blank_since.get(&slice);
         since.is_none_or(|since| now < *since + LONGEST_COPY_LIFETIME)
     }
 
     /// As backup: takes over from a home that is gone or asks for it.
     fn promote(&self, now: Instant, slice: id::Slice, row: &Row, home: &id::Holder) -> Option<Row> {
+        // A backup that is leaving takes over too: it has the only records, which
+        // would be lost with it, and hands them to another before it stops.
         let asked = self.yielded.contains_key(&slice);
-        let take = asked || (self.is_dead(now, home) && !self.leaving);
+        let take = asked || self.is_dead(now, home);
         take.then(|| self.successor(row))
     }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -96,6 +96,10 @@
     /// Leaving servers whose feeds are being moved.
     vacated: HashSet<id::Server>,
     swept: Option<Instant>,
+    pins_swept: Option<Instant>,
+    ticked: Option<Instant>,
+    /// After a long pause: until when waiting datagrams are being read.
+    catching_up_until: Option<Instant>,
     records: usize,
     feeds: usize,
     next_attempt: u64,
@@ -127,6 +131,9 @@
             releases: VecDeque::new(),
             vacated: HashSet::new(),
             swept: None,
+            pins_swept: None,
+            ticked: None,
+            catching_up_until: None,
             records: 0,
             feeds: 0,
             next_attempt: start & mask,
@@ -140,9 +147,9 @@
 
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        self.watch_pause(now);
         match event {
             Event::Request { request, hops } => self.request(now, request, hops),
-            Event::Released { from, request } => self.released(now, &from, request),
             Event::Receipt {
                 flow,
                 message,
@@ -184,6 +191,11 @@
         self.records
     }
 
+    /// Timers that have not fired.
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Requests that wait for a home.
     pub fn parked(&self) -> usize {
         self.park.len()
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::Engine;
+use super::inbound::ACKNOWLEDGE_AFTER;
 use crate::action::Action;
 use crate::id;
 use crate::reason::Reason;
@@ -14,11 +15,32 @@
 use crate::request::Key;
 use crate::request::Outcome;
 
+/// Time without a tick that is taken for a pause of the process. With the longest
+/// wait for a home it must fit into the margin for which records are kept.
+const LONG_PAUSE: Duration = Duration::from_secs(10);
+
+/// Time after a pause in which waiting datagrams are still being read.
+const CATCH_UP: Duration = Duration::from_millis(500);
+
 /// Time between searches for leaving servers.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 impl Engine {
+    /// Notices that this process did not run for a while.
+    pub(super) fn watch_pause(&mut self, now: Instant) {
+        if self.ticked.is_some_and(|ticked| now >= ticked + LONG_PAUSE) {
+            self.ticked = Some(now);
+            self.catching_up_until = Some(now + CATCH_UP);
+        }
+    }
+
+    /// Whether what arrives now may have waited through a long pause.
+    pub(super) fn is_catching_up(&self, now: Instant) -> bool {
+        self.catching_up_until.is_some_and(|until| now < until)
+    }
+
     pub(super) fn tick(&mut self, now: Instant) {
+        self.ticked = Some(now);
         self.fire(now);
         self.expire_parked(now);
         self.pump(now);
@@ -26,6 +48,7 @@
         if self.swept.is_none_or(|swept| now >= swept + SWEEP_EVERY) {
             self.swept = Some(now);
             self.vacate();
+            self.drop_pins(now);
         }
         self.move_feeds(now);
     }
@@ -40,24 +63,30 @@
                 return;
             };
             match timer {
-                Timer::Acknowledge(slice, key) => self.acknowledge(slice, &key),
+                Timer::Acknowledge(slice, key) => self.acknowledge(now, slice, &key),
                 Timer::Attempt(slice, key, attempt) => self.retry(now, slice, &key, attempt),
                 Timer::Deadline(slice, key) => self.give_up(now, slice, &key),
                 Timer::Resend(slice, key) => self.resend(now, slice, &key),
                 Timer::Forget(slice, key) => self.expire(now, slice, &key),
                 Timer::Feed(slice, key) => self.tend_feed(now, slice, &key),
+                Timer::Return(slice) => {
+                    if !self.tends(slice) {
+                        self.offer_feeds(slice);
+                    }
+                }
             }
         }
     }
 
     /// Tells the caller that its request is here, so that it stops repeating it.
-    fn acknowledge(&mut self, slice: id::Slice, key: &Key) {
+    fn acknowledge(&mut self, now: Instant, slice: id::Slice, key: &Key) {
         self.next_message = self.next_message.wrapping_add(1);
         let message = self.next_message;
         let Some(record) = self.record(slice, key) else {
             return;
         };
-        if !record.is_open() || record.separate.is_some() {
+        let early = now < record.born + ACKNOWLEDGE_AFTER;
+        if early || !record.is_open() || record.separate.is_some() {
             return;
         }
         record.separate = Some(message);
@@ -68,9 +97,21 @@
     }
 
     fn give_up(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let deadline = self.deadline(&key.flow.service);
         let Some(record) = self.record(slice, key) else {
             return;
         };
+        if !record.is_open() {
+            return;
+        }
+        let due = record.born + deadline;
+        if now < due {
+            // The timer is that of an earlier request under the same key, which was
+            // answered and forgotten: its copy has its own time. Or the profile
+            // allows more time by now.
+            self.schedule(due, Timer::Deadline(slice, key.clone()));
+            return;
+        }
         let servers = record.attempts.clone();
         for attempt in servers {
             let sending = self.sendings.get(&attempt);
@@ -88,7 +129,7 @@
         };
         let finished = record.is_settled() || record.phase == Phase::Claimed;
         let born = record.born;
-        if finished && now >= born + self.copy_lifetime(&key.flow.service) {
+        if finished && now >= born + self.keep_time(&key.flow.service) {
             self.forget(slice, key);
         } else {
             self.schedule_forget(now, slice, key);
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -42,6 +42,11 @@
 /// How long copies are expected for a service whose profile is not known here.
 const DEFAULT_COPY_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Added to the copy lifetime for which a record is kept: the last copy may wait
+/// for a home at another instance, or through a short pause of its process, and
+/// would run again if it found nothing.
+const KEEP_MARGIN: Duration = Duration::from_secs(20);
+
 /// Shortest pause given to a server that refused.
 const LEAST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -54,7 +59,7 @@
         self.snapshot.services.get(id).map(Arc::clone)
     }
 
-    fn deadline(&self, service: &id::Service) -> Duration {
+    pub(super) fn deadline(&self, service: &id::Service) -> Duration {
         self.service(service)
             .map_or(Duration::ZERO, |service| service.profile.deadline())
     }
@@ -154,6 +159,17 @@
         usable.then(|| Arc::clone(server))
     }
 
+    /// Forgets servers of larger bodies that came to their end.
+    pub(super) fn drop_pins(&mut self, now: Instant) {
+        if self.pins_swept.is_some_and(|swept| now < swept + PIN_TIME) {
+            return;
+        }
+        self.pins_swept = Some(now);
+        for state in self.slices.values_mut() {
+            state.pins.retain(|_, (_, used)| now < *used + PIN_TIME);
+        }
+    }
+
     fn forward(
         &mut self,
         now: Instant,
@@ -393,7 +409,9 @@
         self.close_account(slice, key);
         let elapsed = now.duration_since(born);
         self.note_settled(reason, slice, key, server, elapsed);
-        self.tell_new_home(slice, key, token, &outcome);
+        if kind.runs_once() {
+            self.tell_new_home(slice, key, token, &outcome);
+        }
         let delivery = separate.map_or(Delivery::Direct, |message| Delivery::Separate { message });
         self.out.push(Action::Answer {
             flow: key.flow.clone(),
@@ -470,8 +488,13 @@
     }
 
     pub(super) fn schedule_forget(&mut self, now: Instant, slice: id::Slice, key: &Key) {
-        let lifetime = self.copy_lifetime(&key.flow.service);
-        self.schedule(now + lifetime, Timer::Forget(slice, key.clone()));
+        let keep = self.keep_time(&key.flow.service);
+        self.schedule(now + keep, Timer::Forget(slice, key.clone()));
+    }
+
+    /// How long a record is kept after its request came.
+    pub(super) fn keep_time(&self, service: &id::Service) -> Duration {
+        self.copy_lifetime(service) + KEEP_MARGIN
     }
 
     pub(super) fn copy_lifetime(&self, service: &id::Service) -> Duration {
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -13,6 +13,7 @@
 //! acknowledged before, which the new home will not run, and nothing else.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use crate::member::View;
 use crate::peer;
 use crate::reason::Reason;
+use crate::record::Arrival;
 use crate::record::Feed;
 use crate::record::FeedKey;
 use crate::record::Pending;
@@ -34,7 +36,6 @@
 use crate::record::Record;
 use crate::record::Replica;
 use crate::record::Role;
-use crate::record::Slice;
 use crate::request::Key;
 use crate::request::Outcome;
 use crate::request::Request;
@@ -169,13 +170,22 @@
         {
             return;
         }
+        self.copy_all(now, slice, backup, false);
+    }
+
+    /// Copies the whole slice to a backup; claims wait for it from the first step
+    /// on, so that none is known here alone when the backup is named in the table.
+    fn copy_all(&mut self, now: Instant, slice: id::Slice, backup: &id::Holder, installed: bool) {
+        let state = self.slices.entry(slice).or_default();
         let waiters = state.replica.take().map(waiters).unwrap_or_default();
         let mut items = vec![peer::Item::Begin(peer::Begin {})];
+        let waiting: HashSet<&Key> = waiters.iter().collect();
         let runs_once = |(key, record): (&Key, &Record)| {
-            let claim = record.kind.runs_once() && !waiters.contains(key);
-            claim.then(|| peer::Item::Claim(pack_claim(key)))
+            let claim = record.kind.runs_once() && !waiting.contains(key);
+            claim.then(|| key.clone())
         };
-        items.extend(state.records.iter().filter_map(runs_once));
+        let claims = sorted(state.records.iter().filter_map(runs_once));
+        items.extend(claims.iter().map(|key| peer::Item::Claim(pack_claim(key))));
         let feeds = state.feeds.iter();
         items.extend(feeds.map(|(key, feed)| peer::Item::Feed(pack_feed(key, feed))));
         let mut pending = BTreeMap::new();
@@ -190,7 +200,7 @@
         }
         state.replica = Some(Replica {
             holder: backup.clone(),
-            installed: false,
+            installed,
             complete: false,
             copied: self.next_number,
             pending,
@@ -231,7 +241,7 @@
                 self.acknowledged(now, &from, &message);
                 Ok(())
             }
-            peer::Body::Settle(message) => self.settled_elsewhere(message),
+            peer::Body::Settle(message) => self.settled_elsewhere(&from, message),
             peer::Body::Adopt(message) => self.adopted(now, message),
             // The rest belongs to the edge or to the control task.
             _ => Ok(()),
@@ -253,7 +263,7 @@
         match message.item {
             Some(peer::Item::Claim(claim)) => {
                 let key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
-                self.keep_claim(now, slice, key);
+                self.keep_claim(now, slice, key, from);
             }
             Some(peer::Item::Feed(feed)) => {
                 let (key, feed) = unpack_feed(now, message.number, feed)?;
@@ -294,12 +304,14 @@
         state.is_none_or(|state| epoch >= state.seen)
     }
 
-    fn keep_claim(&mut self, now: Instant, slice: id::Slice, key: Key) {
+    fn keep_claim(&mut self, now: Instant, slice: id::Slice, key: Key, from: &id::Holder) {
         let state = self.slices.entry(slice).or_default();
         if state.records.contains_key(&key) {
             return;
         }
-        state.records.insert(key.clone(), Record::claimed(now));
+        state
+            .records
+            .insert(key.clone(), Record::claimed(now, from));
         self.records += 1;
         self.schedule_forget(now, slice, &key);
     }
@@ -345,15 +357,23 @@
         }
     }
 
-    fn settled_elsewhere(&mut self, message: peer::Settle) -> Result<()> {
+    fn settled_elsewhere(&mut self, from: &id::Holder, message: peer::Settle) -> Result<()> {
         let slice = id::Slice(message.slice);
         let key = peer::unpack_key(message.flow.as_ref(), &message.id)?;
         let token = Token(peer::unpack_number(&message.token)?);
-        if let Some(record) = self.record(slice, &key)
-            && record.phase == Phase::Claimed
-        {
+        let Some(record) = self.record(slice, &key) else {
+            return Ok(());
+        };
+        if record.phase != Phase::Claimed {
+            return Ok(());
+        }
+        if !message.answer.is_empty() {
             record.phase = Phase::Settled(Outcome::Answered(message.answer));
             record.token = token;
+        } else if record.claimer.as_ref() == Some(from) {
+            // Only the claimer knows that it did not forward the request. Another
+            // one may have: this message could be a late one about an earlier claim.
+            self.forget(slice, &key);
         }
         Ok(())
     }
@@ -400,36 +420,31 @@
         let rows: Vec<(id::Slice, Row)> = self
             .table
             .rows()
-            .filter(|(slice, row)| {
-                let known = before.rows().nth(slice.0 as usize);
-                self.owns(*slice) && known.is_none_or(|(_, known)| known != *row)
-            })
+            .filter(|(slice, row)| self.owns(*slice) && before.get(*slice) != Some(row))
             .map(|(slice, row)| (slice, row.clone()))
             .collect();
         for (slice, row) in rows {
-            let was_blank = before
-                .rows()
-                .nth(slice.0 as usize)
-                .is_some_and(|(_, r)| r.blank);
-            self.take_row(now, slice, row, was_blank);
+            let continued = before
+                .get(slice)
+                .is_some_and(|before| row.continues(before));
+            self.take_row(now, slice, row, continued);
         }
         self.unpark(now);
     }
 
-    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, was_blank: bool) {
+    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, continued: bool) {
         let state = self.slices.entry(slice).or_default();
-        // Rows between may have been skipped: this instance can have lost the
-        // slice and taken it back without records, unseen by this worker. What the
-        // homes between let run is not in the records here.
-        if row.blank && !was_blank {
-            state.blank_since = Some(now);
-        }
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
+        // Every instance counts the window from when it first sees the takeover,
+        // so that a planned move does not begin it anew: each one would cost the
+        // callers another copy lifetime of unknown outcomes.
+        let since = state.blank_since.filter(|_| continued).unwrap_or(now);
+        state.blank_since = row.blank.then_some(since);
         if row.is_home(&self.settings.me) {
             state.role = Role::Home;
             if before != Role::Home {
-                self.become_home(now, slice, &row);
+                self.become_home(slice);
             }
             self.take_backup(now, slice, row.backup);
             return;
@@ -444,9 +459,8 @@
         }
     }
 
-    fn become_home(&mut self, now: Instant, slice: id::Slice, row: &Row) {
+    fn become_home(&mut self, slice: id::Slice) {
         let state = self.slices.entry(slice).or_default();
-        state.blank_since = row.blank.then_some(now);
         state.replica = None;
         self.activate_feeds(slice);
         self.note(Reason::HomeGained);
@@ -456,25 +470,55 @@
     /// a server is finished here.
     fn step_down(&mut self, now: Instant, slice: id::Slice) {
         self.note(Reason::HomeLost);
+        self.offer_unreplicated(slice);
         let Some(state) = self.slices.get_mut(&slice) else {
             return;
         };
         state.replica = None;
-        state.blank_since = None;
         let waiting = |(key, record): (&Key, &Record)| {
             matches!(record.phase, Phase::Claiming(_)).then(|| key.clone())
         };
-        let keys: Vec<Key> = state.records.iter().filter_map(waiting).collect();
+        let keys = sorted(state.records.iter().filter_map(waiting));
         for key in keys {
             self.pass_on(now, slice, &key);
         }
         self.releases.push_back((now + RELEASE_AFTER, slice));
     }
 
+    /// A feed opened just now may be unknown to the new home, which was the backup:
+    /// it would be dropped here without anybody going on with it.
+    fn offer_unreplicated(&mut self, slice: id::Slice) {
+        let home = self.table.row(slice).home.clone();
+        let replica = self.slices.get(&slice).and_then(|s| s.replica.as_ref());
+        let (Some(home), Some(replica)) = (home, replica) else {
+            return;
+        };
+        let feed = |pending: &Pending| match &pending.item {
+            peer::Item::Feed(feed) => Some(feed.clone()),
+            _ => None,
+        };
+        for feed in replica.pending.values().filter_map(feed) {
+            let body = peer::Body::Adopt(peer::Adopt {
+                slice: slice.0,
+                feed: Some(feed),
+            });
+            self.out.push(Action::Peer {
+                to: home.clone(),
+                body,
+            });
+        }
+    }
+
     fn pass_on(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let deadline = self.deadline(&key.flow.service);
         let Some(record) = self.record(slice, key) else {
             return;
         };
+        if now >= record.born + deadline {
+            self.settle(now, slice, key, Outcome::Unknown, Reason::UnknownDeadline);
+            return;
+        }
+        let since = record.born;
         let request = Request {
             flow: key.flow.clone(),
             id: key.id,
@@ -485,19 +529,31 @@
             datagram: record.datagram.clone(),
         };
         self.close_record(slice, key);
-        let row = self.table.row(slice);
-        let home = row.home.clone().filter(|home| self.members.is_live(home));
-        let Some(to) = home else {
-            self.request(now, request, 0);
+        self.give_claim_back(slice, key);
+        let arrival = Arrival {
+            request,
+            hops: 0,
+            since,
+        };
+        self.settle_route(now, arrival);
+    }
+
+    /// The new home may have the claim without its acknowledgement having come. It
+    /// would answer "unknown" for a request that nobody forwarded or ever will.
+    fn give_claim_back(&mut self, slice: id::Slice, key: &Key) {
+        let Some(home) = self.table.row(slice).home.clone() else {
             return;
         };
-        let body = peer::Body::Relay(peer::Relay {
-            flow: Some(peer::pack_flow(&request.flow)),
-            datagram: request.datagram,
-            hops: 1,
-            released: true,
+        self.out.push(Action::Peer {
+            to: home,
+            body: peer::Body::Settle(peer::Settle {
+                slice: slice.0,
+                flow: Some(peer::pack_flow(&key.flow)),
+                id: peer::pack_number(key.id.0),
+                token: Vec::new(),
+                answer: bytes::Bytes::new(),
+            }),
         });
-        self.out.push(Action::Peer { to, body });
     }
 
     fn close_record(&mut self, slice: id::Slice, key: &Key) {
@@ -518,24 +574,17 @@
                 replica.installed = true;
                 self.note(Reason::BackupJoined);
             }
-            (Some(backup), _) => self.replace_replica(now, slice, backup),
+            (Some(backup), _) => self.copy_all(now, slice, &backup, true),
         }
     }
+}
 
-    fn replace_replica(&mut self, now: Instant, slice: id::Slice, backup: id::Holder) {
-        let Slice { replica, .. } = self.slices.entry(slice).or_default();
-        let fresh = Replica {
-            holder: backup,
-            installed: true,
-            complete: true,
-            copied: self.next_number,
-            pending: BTreeMap::new(),
-        };
-        let keys = replica.replace(fresh).map(waiters).unwrap_or_default();
-        for key in keys {
-            self.claim(now, slice, &key);
-        }
-    }
+/// Keys in an order that does not depend on a hash map's: the same events must
+/// give the same actions.
+fn sorted(keys: impl Iterator<Item = Key>) -> Vec<Key> {
+    let mut keys: Vec<Key> = keys.collect();
+    keys.sort();
+    keys
 }
 
 /// Requests that wait for a replica's acknowledgements.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -37,10 +37,6 @@
     /// Relays so far.
     #[prost(uint32, tag = "3")]
     pub hops: u32,
-    /// Whether the sender, home until now, claimed the request but never
-    /// forwarded it and never will.
-    #[prost(bool, tag = "4")]
-    pub released: bool,
 }
 
 /// A request that may be forwarded from now on, or will never be.
@@ -152,7 +148,8 @@
     /// The caller's token.
     #[prost(bytes = "vec", tag = "4")]
     pub token: Vec<u8>,
-    /// The server's answer.
+    /// The server's answer; empty if the sender claimed the request but neither
+    /// forwarded it nor ever will.
     #[prost(bytes = "bytes", tag = "5")]
     pub answer: Bytes,
 }
--- a/src/record.rs
+++ b/src/record.rs
@@ -16,6 +16,7 @@
 use crate::request::Key;
 use crate::request::Kind;
 use crate::request::Outcome;
+use crate::request::Request;
 use crate::request::Token;
 use crate::server::Server;
 
@@ -43,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) phase: Phase,
+    /// As backup: whose claim it is.
+    pub(crate) claimer: Option<id::Holder>,
     pub(crate) kind: Kind,
     pub(crate) token: Token,
     pub(crate) confirmable: bool,
@@ -61,9 +64,10 @@
 
 impl Record {
     /// What a backup keeps of a claim.
-    pub(crate) fn claimed(now: Instant) -> Self {
+    pub(crate) fn claimed(now: Instant, claimer: &id::Holder) -> Self {
         Self {
             phase: Phase::Claimed,
+            claimer: Some(claimer.clone()),
             kind: Kind::Once,
             token: Token(0),
             confirmable: true,
@@ -165,7 +169,7 @@
     pub(crate) epoch: id::Epoch,
     /// As backup: the greatest epoch under which a home has replicated to us.
     pub(crate) seen: id::Epoch,
-    /// As home without the records: since when.
+    /// Since when the slice is known to have lost its records.
     pub(crate) blank_since: Option<Instant>,
     pub(crate) replica: Option<Replica>,
     pub(crate) records: HashMap<Key, Record>,
@@ -191,11 +195,14 @@
     pub(crate) server: Arc<Server>,
 }
 
-/// A non-idempotent request that waits for its slice to get a home.
+/// A request on its way to whoever decides for it.
 #[derive(Clone, Debug)]
-pub(crate) struct Parked {
-    pub(crate) request: crate::request::Request,
-    pub(crate) until: Instant,
+pub(crate) struct Arrival {
+    pub(crate) request: Request,
+    /// Relays so far.
+    pub(crate) hops: u32,
+    /// When this instance first had it.
+    pub(crate) since: Instant,
 }
 
 /// What waits for a point in time.
@@ -213,10 +220,12 @@
     Forget(id::Slice, Key),
     /// Look after the feed.
     Feed(id::Slice, FeedKey),
+    /// Offer the slice's feeds to its home once more.
+    Return(id::Slice),
 }
 
-/// Requests that wait, oldest first.
-pub(crate) type Park = VecDeque<Parked>;
+/// Non-idempotent requests that wait for their slices to get a home.
+pub(crate) type Park = VecDeque<Arrival>;
 
 /// A separate answer that waits for its receipt, by message number.
 pub(crate) type Receipts = HashMap<(Flow, u16), Id>;
