End workers and connections with the daemon that they belong to

Cause: worker threads ended only when the last sender was dropped, and tasks outside of the daemon's own set (connections to the status port, copies for peers, writes of the slice table, followers of the platform) kept it alive. In a process that goes on, a stopped instance kept its sockets and engines. Change: workers have a flag and are joined, all tasks are spawned in one tracked set, connections to the status port are closed at the end.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -103,7 +103,7 @@
         message: AtomicUsize::new(me.incarnation.0 as usize),
     });
     let engines = engines(&settings, &me);
-    let pool = Pool::start(engines, &outlet, settings.slices, settings.hash_key);
+    let pool = Pool::start(engines, &outlet, settings.slices, settings.hash_key)?;
     let control = Control::new(control_settings(&settings, &me), Instant::now());
     let shared = Arc::new(Shared::new(Parts {
         settings,
@@ -200,6 +200,8 @@
         // The control task held the sender, so the registration is withdrawn now.
         let withdraw = tokio::time::timeout(LINGER, self.registration);
         let _ = withdraw.await;
+        // Whoever starts an instance anew in this process needs its addresses.
+        let _ = tokio::time::timeout(LINGER, self.shared.closed()).await;
         info!(self.shared.log, "stopped"; "cut" => stopped.cut, "kept" => stopped.kept);
         stopped
     }
@@ -290,7 +292,10 @@
 
 async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let router = http::router(Arc::clone(&shared));
-    if let Err(error) = axum::serve(listener, router).await {
+    // Each open connection is a task of its own, which would outlive this one and
+    // answer for an instance that has stopped.
+    let serving = axum::serve(listener, router).with_graceful_shutdown(shared.closing());
+    if let Err(error) = serving.await {
         info!(shared.log, "status port closed"; "error" => %error);
     }
 }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -221,8 +221,9 @@
             let Ok((stream, from)) = listener.accept().await else {
                 continue;
             };
+            let task = Arc::clone(&shared);
             let shared = Arc::clone(&shared);
-            tokio::spawn(async move {
+            task.spawn(async move {
                 let link = Arc::clone(&shared.link);
                 let served = link.serve(stream, from, |pull| newer(&shared, &pull)).await;
                 if served.is_err() {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -13,6 +13,8 @@
 use slog::Logger;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::sync::WaitForCancellationFutureOwned;
+use tokio_util::task::TaskTracker;
 
 use crate::config::Config;
 use crate::control::Control;
@@ -37,6 +39,7 @@
     pub(crate) ring: Arc<explain::Ring>,
     pub(crate) ready: AtomicBool,
     closing: CancellationToken,
+    tasks: TaskTracker,
     config: Mutex<Config>,
     control: Mutex<Control>,
 }
@@ -67,6 +70,7 @@
             ring: parts.ring,
             ready: AtomicBool::new(false),
             closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
             config: Mutex::default(),
             control: Mutex::new(parts.control),
         }
@@ -75,14 +79,28 @@
     /// Starts a task that ends with the daemon.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let closing = self.closing.clone();
-        tokio::spawn(async move {
+        self.tasks.spawn(async move {
             let _ = closing.run_until_cancelled(task).await;
         });
     }
 
-    /// Ends all tasks.
+    /// Resolves when the daemon ends.
+    pub(crate) fn closing(&self) -> WaitForCancellationFutureOwned {
+        self.closing.clone().cancelled_owned()
+    }
+
+    /// Ends all tasks and workers.
     pub(crate) fn close(&self) {
         self.closing.cancel();
+        self.tasks.close();
+        self.pool.close();
+    }
+
+    /// Waits until all tasks and workers have ended after [`Shared::close`].
+    pub(crate) async fn closed(self: &Arc<Self>) {
+        self.tasks.wait().await;
+        let shared = Arc::clone(self);
+        let _ = tokio::task::spawn_blocking(move || shared.pool.join()).await;
     }
 
     pub(crate) fn config(&self) -> MutexGuard<'_, Config> {
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -240,7 +240,7 @@
         let link = Arc::clone(&self.shared.link);
         let told = self.told.clone();
         let log = self.shared.log.clone();
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             match link.pull(address.0, peer::Pull { have }).await {
                 Ok(entries) => {
                     let _ = told.send(Told::Pulled(entries));
@@ -425,7 +425,7 @@
         let client = self.client.clone();
         let told = self.told.clone();
         let log = self.shared.log.clone();
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             let key = format!("{SLICES}{document}");
             let value = serde_json::to_vec(&value).unwrap_or_default();
             let resolved = client.swap_and_resolve(&key, expected, &value, None).await;
@@ -472,10 +472,15 @@
 pub(crate) async fn follow(client: Client, prefix: &'static str, told: UnboundedSender<Told>) {
     const QUEUE: usize = 1_024;
     let (sender, mut receiver) = tokio::sync::mpsc::channel(QUEUE);
-    tokio::spawn(platform::follow(client, prefix.to_owned(), sender));
-    while let Some(update) = receiver.recv().await {
-        if told.send(Told::Platform(prefix, update)).is_err() {
-            return;
+    let pass_on = async {
+        while let Some(update) = receiver.recv().await {
+            if told.send(Told::Platform(prefix, update)).is_err() {
+                return;
+            }
         }
+    };
+    tokio::select! {
+        () = platform::follow(client, prefix.to_owned(), sender) => {}
+        () = pass_on => {}
     }
 }
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -3,10 +3,14 @@
 use std::collections::HashMap;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
@@ -22,6 +26,7 @@
 use crate::codec;
 use crate::engine::ATTEMPT_BITS;
 use crate::engine::Engine;
+use crate::error::Error;
 use crate::error::Result;
 use crate::event::Event;
 use crate::id;
@@ -87,11 +92,15 @@
     pub(crate) dropped: AtomicU64,
 }
 
-/// The workers' inputs.
-#[derive(Clone, Debug)]
+/// The workers' inputs, and their threads.
+///
+/// Lock order: `threads` is a leaf, held to take them out.
+#[derive(Debug)]
 pub(crate) struct Pool {
     senders: Vec<Sender<Input>>,
     gauges: Arc<Vec<Gauge>>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+    closed: Arc<AtomicBool>,
     slices: u32,
     hash_key: u64,
 }
@@ -103,22 +112,48 @@
         outlet: &Arc<Outlet>,
         slices: u32,
         hash_key: u64,
-    ) -> Self {
+    ) -> Result<Self> {
         let gauges: Vec<Gauge> = engines.iter().map(|_| Gauge::default()).collect();
         let gauges = Arc::new(gauges);
+        let closed = Arc::new(AtomicBool::new(false));
         let mut senders = Vec::new();
+        let mut threads = Vec::new();
         for (number, engine) in engines.into_iter().enumerate() {
             let (sender, receiver) = crossbeam::channel::bounded(QUEUE);
             let outlet = Arc::clone(outlet);
             let gauges = Arc::clone(&gauges);
-            std::thread::spawn(move || run(engine, &receiver, &outlet, &gauges[number]));
+            let closed = Arc::clone(&closed);
+            let work = move || run(engine, &receiver, &outlet, &gauges[number], &closed);
+            threads.push(spawn(number, work)?);
             senders.push(sender);
         }
-        Self {
+        Ok(Self {
             senders,
             gauges,
+            threads: Mutex::new(threads),
+            closed,
             slices,
             hash_key,
+        })
+    }
+
+    /// Ends the workers; what they were given and have not taken is dropped.
+    ///
+    /// Dropping the senders is not enough: whatever still holds them, such as an
+    /// open connection to the status port, would keep the engines running, and
+    /// they would go on to send for an instance that has stopped.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits for the threads to end after [`Pool::close`].
+    pub(crate) fn join(&self) {
+        let threads = self
+            .threads
+            .lock()
+            .map(|mut threads| std::mem::take(&mut *threads));
+        for thread in threads.unwrap_or_default() {
+            let _ = thread.join();
         }
     }
 
@@ -163,9 +198,24 @@
     }
 }
 
-fn run(mut engine: Engine, receiver: &Receiver<Input>, outlet: &Outlet, gauge: &Gauge) {
+fn spawn(number: usize, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+    let builder = thread::Builder::new().name(format!("worker-{number}"));
+    builder.spawn(work).map_err(|source| Error::Io {
+        step: "start worker",
+        peer: "system".to_owned(),
+        source,
+    })
+}
+
+fn run(
+    mut engine: Engine,
+    receiver: &Receiver<Input>,
+    outlet: &Outlet,
+    gauge: &Gauge,
+    closed: &AtomicBool,
+) {
     let mut ticked = Instant::now();
-    loop {
+    while !closed.load(Ordering::Relaxed) {
         match receiver.recv_timeout(TICK) {
             Ok(input) => take(&mut engine, input, outlet),
             Err(RecvTimeoutError::Timeout) => {}
