Send all parts of a body from one socket

Seen: every block-wise upload of the demo and of tests/blocks.rs ended in 4.08 (request entity incomplete). Cause: the number of each sending picks one of four sockets, and a server puts a body together by the endpoint that its blocks come from. Ruled out: another server (the pin held; the servers' own records show one server and several remote ports). Change: a part takes a number that picks the socket of the part before it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::edge;
 use crate::engine;
 use crate::engine::Engine;
+use crate::engine::PATHS;
 use crate::error::Error;
 use crate::error::Result;
 use crate::explain;
@@ -41,7 +42,6 @@
 use crate::wire::Keys;
 use crate::worker::Observe;
 use crate::worker::Outlet;
-use crate::worker::PATHS;
 use crate::worker::Pool;
 
 /// How long a stopping instance passes datagrams on after it has handed its
@@ -119,7 +119,7 @@
     let (told, tells) = mpsc::unbounded_channel();
     edge::peers(Arc::clone(&shared), &receiving, told.clone())?;
     edge::copies(Arc::clone(&shared), copies);
-    for path in 0..PATHS {
+    for path in 0..PATHS as usize {
         edge::answers(Arc::clone(&shared), path)?;
     }
     let (stop, stopping) = watch::channel(false);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -45,6 +45,11 @@
 /// Bits of an attempt's number that count; the worker's number stands above them.
 pub const ATTEMPT_BITS: u32 = 56;
 
+/// Sockets toward the backend servers; an attempt's number picks one of them.
+/// Something between the two ends may lose track of one of them; a feed that fell
+/// silent is registered again from another.
+pub const PATHS: u64 = 4;
+
 /// What an engine is told once.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -7,6 +7,7 @@
 
 use super::ATTEMPT_BITS;
 use super::Engine;
+use super::PATHS;
 use crate::action::Action;
 use crate::action::Delivery;
 use crate::action::Note;
@@ -17,6 +18,7 @@
 use crate::reason::Reason;
 use crate::record::FeedKey;
 use crate::record::Phase;
+use crate::record::Pin;
 use crate::record::Purpose;
 use crate::record::Record;
 use crate::record::Sending;
@@ -144,9 +146,9 @@
         flow: &Flow,
         tried: &[id::Server],
     ) -> Option<Arc<Server>> {
-        let (id, used) = self.slices.get(&slice)?.pins.get(flow)?;
-        let server = service.server(id)?;
-        let fresh = now < *used + PIN_TIME && !tried.contains(id);
+        let pin = self.slices.get(&slice)?.pins.get(flow)?;
+        let server = service.server(&pin.server)?;
+        let fresh = now < pin.used + PIN_TIME && !tried.contains(&pin.server);
         let usable = fresh && server.state().is_confirmed(now);
         usable.then(|| Arc::clone(server))
     }
@@ -159,7 +161,7 @@
         service: &Service,
         server: Arc<Server>,
     ) {
-        let attempt = self.new_attempt();
+        let attempt = self.attempt_for(slice, key, &server);
         let Some(record) = self.record(slice, key) else {
             return;
         };
@@ -171,7 +173,11 @@
         let part = record.part;
         let datagram = record.datagram.clone();
         if part && let Some(state) = self.slices.get_mut(&slice) {
-            let pin = (server.id.clone(), now);
+            let pin = Pin {
+                server: server.id.clone(),
+                attempt,
+                used: now,
+            };
             state.pins.insert(key.flow.clone(), pin);
         }
         server.state().outstanding += 1;
@@ -198,6 +204,22 @@
         });
     }
 
+    /// A number for a sending to this server. A server puts a body together by the
+    /// endpoint that its parts come from: a part from another socket of ours would
+    /// be refused as incomplete.
+    fn attempt_for(&mut self, slice: id::Slice, key: &Key, server: &Server) -> id::Attempt {
+        let mut attempt = self.new_attempt();
+        let part = self.record(slice, key).is_some_and(|record| record.part);
+        let pin = self.slices.get(&slice).and_then(|s| s.pins.get(&key.flow));
+        let pin = pin.filter(|pin| part && pin.server == server.id);
+        if let Some(path) = pin.map(|pin| pin.attempt.0 % PATHS) {
+            while attempt.0 % PATHS != path {
+                attempt = self.new_attempt();
+            }
+        }
+        attempt
+    }
+
     pub(super) fn new_attempt(&mut self) -> id::Attempt {
         let mask = (1 << ATTEMPT_BITS) - 1;
         self.next_attempt = (self.next_attempt + 1) & mask;
@@ -343,7 +365,11 @@
         if answer.more
             && let Some(state) = self.slices.get_mut(&slice)
         {
-            let pin = (sending.server.id.clone(), now);
+            let pin = Pin {
+                server: sending.server.id.clone(),
+                attempt,
+                used: now,
+            };
             state.pins.insert(key.flow.clone(), pin);
         }
         if open {
--- a/src/record.rs
+++ b/src/record.rs
@@ -157,6 +157,16 @@
     pub(crate) copied: u64,
 }
 
+/// The server that holds the parts of a larger body.
+#[derive(Clone, Debug)]
+pub(crate) struct Pin {
+    pub(crate) server: id::Server,
+    /// The sending of an earlier part, whose path the later ones share.
+    pub(crate) attempt: id::Attempt,
+    /// When a part was last sent.
+    pub(crate) used: Instant,
+}
+
 /// Everything kept for one slice.
 #[derive(Debug, Default)]
 pub(crate) struct Slice {
@@ -169,8 +179,8 @@
     pub(crate) replica: Option<Replica>,
     pub(crate) records: HashMap<Key, Record>,
     pub(crate) feeds: BTreeMap<FeedKey, Feed>,
-    /// Servers that hold parts of larger bodies, with the time of last use.
-    pub(crate) pins: HashMap<Flow, (id::Server, Instant)>,
+    /// Servers that hold parts of larger bodies.
+    pub(crate) pins: HashMap<Flow, Pin>,
     /// Open requests by flow.
     pub(crate) busy: HashMap<Flow, u32>,
 }
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -26,6 +26,7 @@
 use crate::codec;
 use crate::engine::ATTEMPT_BITS;
 use crate::engine::Engine;
+use crate::engine::PATHS;
 use crate::error::Error;
 use crate::error::Result;
 use crate::event::Event;
@@ -33,10 +34,6 @@
 use crate::link::Link;
 use crate::table;
 
-/// Sockets toward the backend servers. Something between the two ends may lose
-/// track of one of them; a feed that fell silent is registered again from another.
-pub(crate) const PATHS: usize = 4;
-
 /// Events that may wait for a worker; what comes beyond is dropped like on a wire.
 const QUEUE: usize = 65_536;
 
@@ -351,5 +348,5 @@
 }
 
 fn path(outlet: &Outlet, attempt: id::Attempt) -> &UdpSocket {
-    &outlet.paths[attempt.0 as usize % outlet.paths.len()]
+    &outlet.paths[(attempt.0 % PATHS) as usize]
 }
