Keep the server of each larger body apart, and begin a body as new work

Seen: of two bodies that one caller sent at once, one ended in 4.08; a new body began at a draining server (tests/blocks.rs). Cause: the server was remembered by caller alone, and the first part of a new body followed the memory of the last one. Besides, a late or refused later part went to a server that has none of the earlier ones, a late copy of the last part of a PUT was sent on to a server that had forgotten the body, and the memory was never freed. Ruled out: confusion by tokens or message numbers, which the callers' records show to be distinct. Change: a request says which part of which body it is; the server is remembered by caller and body, from the first answer that asks for more; later parts meet that server only; outcomes of upload parts are kept for copies; what is not used for a minute is forgotten. Left: a body whose slice changes its home midway has to begin again, since its next part comes to the server from another instance; the caller is told by 4.08.

--- a/src/codec.rs
+++ b/src/codec.rs
@@ -3,6 +3,8 @@
 //! This is the only module that knows the callers' protocol (RFC 7252, with
 //! Observe of RFC 7641 and block-wise transfer of RFC 7959).
 
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +14,7 @@
 use coap_lite::Packet;
 use coap_lite::RequestType;
 use coap_lite::ResponseType;
+use siphasher::sip::SipHasher13;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -21,6 +24,7 @@
 use crate::request::Id;
 use crate::request::Kind;
 use crate::request::Outcome;
+use crate::request::Part;
 use crate::request::Receipt;
 use crate::request::Request;
 use crate::request::Token;
@@ -40,6 +44,9 @@
 const BLOCK_NUMBER_SHIFT: u32 = 4;
 const ATTEMPT_LENGTH: usize = 8;
 
+/// Keeps the parts of two bodies to one resource apart (RFC 9175).
+const REQUEST_TAG: CoapOption = CoapOption::Unknown(292);
+
 /// A datagram from a caller.
 #[derive(Clone, Debug)]
 pub enum Inbound {
@@ -158,7 +165,7 @@
                 kind: kind_of(method, &packet)
                     .ok_or_else(|| refuse(&flow.caller, "unknown method".to_owned()))?,
                 confirmable: kind == MessageType::Confirmable,
-                part: is_part(&packet),
+                part: part_of(method, &packet),
                 datagram: datagram.clone(),
             }))
         }
@@ -187,11 +194,33 @@
     }
 }
 
-/// Whether it is part of a larger body, so that it must meet the same server.
-fn is_part(packet: &Packet) -> bool {
-    let later =
-        option(packet, CoapOption::Block2).is_some_and(|block| block >> BLOCK_NUMBER_SHIFT > 0);
-    later || packet.get_option(CoapOption::Block1).is_some()
+fn part_of(method: RequestType, packet: &Packet) -> Part {
+    let later = |block| {
+        let value = option(packet, block);
+        value.is_some_and(|value| value >> BLOCK_NUMBER_SHIFT > 0)
+    };
+    Part {
+        body: body_of(method, packet),
+        later: later(CoapOption::Block1) || later(CoapOption::Block2),
+        upload: packet.get_option(CoapOption::Block1).is_some(),
+    }
+}
+
+/// Names a body by all that its parts have in common (RFC 7959, section 2.4, and
+/// the Request-Tag of RFC 9175).
+fn body_of(method: RequestType, packet: &Packet) -> u64 {
+    let mut hasher = SipHasher13::new();
+    std::mem::discriminant(&method).hash(&mut hasher);
+    for option in [CoapOption::UriPath, CoapOption::UriQuery, REQUEST_TAG] {
+        let values = packet.get_option(option);
+        values
+            .into_iter()
+            .flatten()
+            .for_each(|value| value.hash(&mut hasher));
+        // Ends the list, so that a path's last segment is no first query.
+        hasher.write_u8(u8::MAX);
+    }
+    hasher.finish()
 }
 
 /// Rewrites a caller's datagram for a backend server.
@@ -250,7 +279,8 @@
         .map_err(|_| refuse(&from, "not a token of ours".to_owned()))?;
     let code = packet.header.code;
     let refused = code == MessageClass::Response(ResponseType::ServiceUnavailable);
-    let more = option(&packet, CoapOption::Block2).is_some_and(|block| block & BLOCK_MORE != 0);
+    let more = option(&packet, CoapOption::Block2).is_some_and(|block| block & BLOCK_MORE != 0)
+        || code == MessageClass::Response(ResponseType::Continue);
     let answer = Answer {
         verdict: if refused {
             Verdict::Refused
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -14,7 +14,7 @@
 use crate::request::Key;
 use crate::request::Outcome;
 
-/// Time between searches for leaving servers.
+/// Time between searches for leaving servers and for bodies that were given up.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 impl Engine {
@@ -26,6 +26,7 @@
         if self.swept.is_none_or(|swept| now >= swept + SWEEP_EVERY) {
             self.swept = Some(now);
             self.vacate();
+            self.expire_pins(now);
         }
         self.move_feeds(now);
     }
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -246,6 +246,10 @@
             self.turn_away(&request, refusal, reason);
             return;
         }
+        if request.part.upload && self.records >= self.settings.max_flows {
+            self.turn_away(&request, refusal, Reason::RefusedLimit);
+            return;
+        }
         let feeds = self.usage(&service.id).feeds;
         if request.kind == Kind::Open
             && (feeds >= service.profile.max_feeds || self.feeds >= self.settings.max_flows)
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -24,7 +24,6 @@
 use crate::record::Sending;
 use crate::record::Timer;
 use crate::request::Answer;
-use crate::request::Flow;
 use crate::request::Key;
 use crate::request::Kind;
 use crate::request::Outcome;
@@ -108,8 +107,8 @@
         let (part, kind) = (record.part, record.kind);
         let tried = record.tried.clone();
         let waiting = !record.attempts.is_empty();
-        let pinned = if part {
-            self.pinned(now, slice, &service, &key.flow, &tried)
+        let pinned = if part.later {
+            self.pinned(now, slice, &service, key)
         } else {
             None
         };
@@ -136,23 +135,57 @@
         }
     }
 
-    /// The server that has the other parts of the flow's larger body, even if it
-    /// is leaving: the body is work in progress there.
+    /// The server that has the earlier parts of the body, even if it is leaving: the
+    /// body is work in progress there. It is asked again if it is late, since no
+    /// other server can do anything with the part.
     fn pinned(
         &self,
         now: Instant,
         slice: id::Slice,
         service: &Service,
-        flow: &Flow,
-        tried: &[id::Server],
+        key: &Key,
     ) -> Option<Arc<Server>> {
-        let pin = self.slices.get(&slice)?.pins.get(flow)?;
+        let pin = self.pin(slice, key)?;
         let server = service.server(&pin.server)?;
-        let fresh = now < pin.used + PIN_TIME && !tried.contains(&pin.server);
-        let usable = fresh && server.state().is_confirmed(now);
+        let usable = now < pin.used + PIN_TIME && server.state().is_confirmed(now);
         usable.then(|| Arc::clone(server))
     }
 
+    fn pin(&self, slice: id::Slice, key: &Key) -> Option<&Pin> {
+        let state = self.slices.get(&slice)?;
+        let record = state.records.get(key)?;
+        state.pins.get(&(key.flow.clone(), record.part.body))
+    }
+
+    fn set_pin(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        server: &Server,
+        attempt: id::Attempt,
+    ) {
+        let Some(state) = self.slices.get_mut(&slice) else {
+            return;
+        };
+        let Some(record) = state.records.get(key) else {
+            return;
+        };
+        let pin = Pin {
+            server: server.id.clone(),
+            attempt,
+            used: now,
+        };
+        state.pins.insert((key.flow.clone(), record.part.body), pin);
+    }
+
+    /// Forgets the servers of bodies that were given up.
+    pub(super) fn expire_pins(&mut self, now: Instant) {
+        for state in self.slices.values_mut() {
+            state.pins.retain(|_, pin| now < pin.used + PIN_TIME);
+        }
+    }
+
     fn forward(
         &mut self,
         now: Instant,
@@ -170,15 +203,10 @@
         record.tried.push(server.id.clone());
         let deadline = record.born + service.profile.deadline();
         let once = record.kind.runs_once();
-        let part = record.part;
+        let later = record.part.later;
         let datagram = record.datagram.clone();
-        if part && let Some(state) = self.slices.get_mut(&slice) {
-            let pin = Pin {
-                server: server.id.clone(),
-                attempt,
-                used: now,
-            };
-            state.pins.insert(key.flow.clone(), pin);
+        if later {
+            self.set_pin(now, slice, key, &server, attempt);
         }
         server.state().outstanding += 1;
         if !once {
@@ -209,9 +237,11 @@
     /// be refused as incomplete.
     fn attempt_for(&mut self, slice: id::Slice, key: &Key, server: &Server) -> id::Attempt {
         let mut attempt = self.new_attempt();
-        let part = self.record(slice, key).is_some_and(|record| record.part);
-        let pin = self.slices.get(&slice).and_then(|s| s.pins.get(&key.flow));
-        let pin = pin.filter(|pin| part && pin.server == server.id);
+        let later = self
+            .record(slice, key)
+            .is_some_and(|record| record.part.later);
+        let pin = self.pin(slice, key);
+        let pin = pin.filter(|pin| later && pin.server == server.id);
         if let Some(path) = pin.map(|pin| pin.attempt.0 % PATHS) {
             while attempt.0 % PATHS != path {
                 attempt = self.new_attempt();
@@ -320,10 +350,13 @@
         record.attempts.retain(|open| *open != attempt);
         let waiting = !record.attempts.is_empty();
         let tries = record.tried.len() as u32;
+        let later = record.part.later;
         let Some(service) = self.service(&key.flow.service) else {
             return;
         };
-        let more = tries < service.profile.max_attempts;
+        // Another server has none of the earlier parts: the caller, told to come
+        // back, can go on where it is.
+        let more = tries < service.profile.max_attempts && !later;
         if more && self.usage(&service.id).budget.withdraw() {
             self.note_request(Reason::Retried, slice, key);
             self.dispatch(now, slice, key);
@@ -362,15 +395,8 @@
         record.attempts.retain(|open| *open != attempt);
         let open = record.kind == Kind::Open && answer.feed;
         let (token, datagram) = (record.token, record.datagram.clone());
-        if answer.more
-            && let Some(state) = self.slices.get_mut(&slice)
-        {
-            let pin = Pin {
-                server: sending.server.id.clone(),
-                attempt,
-                used: now,
-            };
-            state.pins.insert(key.flow.clone(), pin);
+        if answer.more {
+            self.set_pin(now, slice, key, &sending.server, attempt);
         }
         if open {
             let feed = FeedKey {
@@ -406,7 +432,7 @@
         record.phase = Phase::Settled(outcome.clone());
         record.datagram = bytes::Bytes::new();
         let attempts = std::mem::take(&mut record.attempts);
-        let (kind, token, confirmable) = (record.kind, record.token, record.confirmable);
+        let (token, confirmable, kept) = (record.token, record.confirmable, record.is_kept());
         let (separate, sequence) = (record.separate, record.sequence);
         for attempt in attempts {
             self.drop_sending(attempt);
@@ -430,7 +456,7 @@
             self.receipts.insert((key.flow.clone(), message), key.id);
             self.schedule(now + RESEND_AFTER, Timer::Resend(slice, key.clone()));
         }
-        if kind.runs_once() {
+        if kept {
             self.schedule_forget(now, slice, key);
         } else if separate.is_none() {
             self.forget(slice, key);
@@ -522,7 +548,7 @@
             return;
         };
         record.resends = MAX_RESENDS;
-        if !record.kind.runs_once() {
+        if !record.is_kept() {
             self.forget(slice, key);
         }
     }
@@ -537,7 +563,7 @@
             return;
         };
         if record.resends >= MAX_RESENDS {
-            if !record.kind.runs_once() {
+            if !record.is_kept() {
                 self.forget(slice, key);
             }
             return;
--- a/src/record.rs
+++ b/src/record.rs
@@ -15,6 +15,7 @@
 use crate::request::Key;
 use crate::request::Kind;
 use crate::request::Outcome;
+use crate::request::Part;
 use crate::request::Token;
 use crate::server::Server;
 
@@ -45,7 +46,7 @@
     pub(crate) kind: Kind,
     pub(crate) token: Token,
     pub(crate) confirmable: bool,
-    pub(crate) part: bool,
+    pub(crate) part: Part,
     pub(crate) born: Instant,
     /// Number of the separate answer, once receipt has been acknowledged.
     pub(crate) separate: Option<u16>,
@@ -66,7 +67,7 @@
             kind: Kind::Once,
             token: Token(0),
             confirmable: true,
-            part: false,
+            part: Part::default(),
             born: now,
             separate: None,
             resends: 0,
@@ -82,6 +83,13 @@
         matches!(self.phase, Phase::Settled(_))
     }
 
+    /// Whether it is kept after its outcome, to answer copies with the same. A
+    /// server forgets a body once it is whole: a copy of the last part, although
+    /// idempotent by its method, would be refused as incomplete.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.kind.runs_once() || self.part.upload
+    }
+
     /// Whether this instance works on it.
     pub(crate) fn is_open(&self) -> bool {
         matches!(self.phase, Phase::Claiming(_) | Phase::Sent)
@@ -179,8 +187,8 @@
     pub(crate) replica: Option<Replica>,
     pub(crate) records: HashMap<Key, Record>,
     pub(crate) feeds: BTreeMap<FeedKey, Feed>,
-    /// Servers that hold parts of larger bodies.
-    pub(crate) pins: HashMap<Flow, Pin>,
+    /// Servers that hold parts of larger bodies, by the bodies' names.
+    pub(crate) pins: HashMap<(Flow, u64), Pin>,
     /// Open requests by flow.
     pub(crate) busy: HashMap<Flow, u32>,
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// What a datagram is of a body that may need several.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    /// Names the body among its caller's, by resource and method.
+    pub body: u64,
+    /// Whether earlier parts are at a server already, which this one must meet.
+    pub later: bool,
+    /// Whether the body travels to the server.
+    pub upload: bool,
+}
+
 /// A request from a caller.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -86,8 +97,8 @@
     pub kind: Kind,
     /// Whether the caller expects an acknowledgement of receipt.
     pub confirmable: bool,
-    /// Whether it is a part of a larger body and must meet the flow's server.
-    pub part: bool,
+    /// Which part of which body it is.
+    pub part: Part,
     /// The whole datagram, opaque here.
     pub datagram: Bytes,
 }
