--- a/src/log.rs
+++ b/src/log.rs
@@ -6,6 +6,7 @@
 use std::io;
 
 use slog::Drain;
+use slog::FnValue;
 use slog::Logger;
 use slog::Record;
 use slog::o;
@@ -23,6 +24,7 @@
         Format::Json => {
             let json = slog_json::Json::new(io::stderr())
                 .add_default_keys()
+                .add_key_value(o!("module" => FnValue(module)))
                 .build();
             queued(json.ignore_res(), settings)
         }
@@ -34,6 +36,11 @@
     }
 }
 
+/// The module is what levels are set by, so each record names its own.
+fn module(record: &Record<'_>) -> &'static str {
+    record.module()
+}
+
 fn queued<D>(drain: D, settings: &Log) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
