--- a/src/worker.rs
+++ b/src/worker.rs
@@ -228,6 +228,9 @@
             let in_progress = engine.in_progress() as u64;
             gauge.in_progress.store(in_progress, Ordering::Relaxed);
             gauge.feeds.store(engine.feeds() as u64, Ordering::Relaxed);
+            gauge
+                .parked
+                .store(engine.parked() as u64, Ordering::Relaxed);
             gauge
                 .records
                 .store(engine.records() as u64, Ordering::Relaxed);
