Keep the byte budget of control traffic to each peer

The setting peer_bytes_per_second was checked and then read by nobody. Now each peer has a bucket for what an instance says of its own accord: loads in heartbeats are left out first, copies of the configuration go out on credit and then wait, signs of life and hand-overs always go out. What is left out is counted in godwitreel_peer_withheld_total.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -39,6 +39,10 @@
 /// Share of a bucket, as a divisor, that only urgent calls may use.
 const RESERVE: f64 = 10.0;
 
+/// Longest time in which a debt is paid off, in seconds. A copy of everything
+/// must not silence a peer for good.
+const LONGEST_DEBT: f64 = 60.0;
+
 /// A token bucket that holds at most one second's worth of calls.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -76,6 +80,43 @@
         self.take_above(0.0, now)
     }
 
+    /// Takes this many tokens, if they are left.
+    pub fn take_many(&mut self, count: usize, now: Instant) -> bool {
+        self.fill(now);
+        let enough = self.tokens >= count as f64;
+        if enough {
+            self.tokens -= count as f64;
+        }
+        enough
+    }
+
+    /// Takes what is left of this many tokens, for what goes out in any case.
+    pub fn drain(&mut self, count: usize, now: Instant) {
+        self.fill(now);
+        let left = self.tokens.max(0.0);
+        self.tokens -= left.min(count as f64);
+    }
+
+    /// Takes this many tokens, on credit if need be, unless there is a debt.
+    ///
+    /// What is larger than the bucket can only go out on credit; the debt keeps
+    /// the mean at the rate.
+    pub fn borrow(&mut self, count: usize, now: Instant) -> bool {
+        self.fill(now);
+        if self.tokens < 0.0 {
+            return false;
+        }
+        let least = -LONGEST_DEBT * f64::from(self.rate.0);
+        self.tokens = (self.tokens - count as f64).max(least);
+        true
+    }
+
+    /// Whether it is as good as new.
+    pub fn is_full(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        self.tokens >= f64::from(self.rate.0)
+    }
+
     fn take_above(&mut self, floor: f64, now: Instant) -> bool {
         self.fill(now);
         if self.tokens < floor + 1.0 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -88,7 +88,13 @@
         .map_err(|source| io(settings.peer, source))?;
     let client = Client::new(settings.platform.clone(), platform::Options::default())?;
     let metrics = Arc::new(Metrics::new(client.clone()));
-    let link = Arc::new(Link::new(me.clone(), keys, socket, Arc::clone(&metrics)));
+    let link = Arc::new(Link::new(
+        me.clone(),
+        keys,
+        socket,
+        settings.peer_bytes_per_second,
+        Arc::clone(&metrics),
+    ));
     let ring = Arc::new(explain::Ring::default());
     let (joined, joins) = mpsc::unbounded_channel();
     let paths: Result<Vec<_>> = (0..PATHS)
--- a/src/link.rs
+++ b/src/link.rs
@@ -2,12 +2,18 @@
 //!
 //! One UDP socket carries single messages. The TCP port of the same number
 //! serves copies of the configuration to peers that are behind.
+//!
+//! What an instance says to a peer of its own accord has a budget of bytes per
+//! second. Loads in heartbeats give way first, then copies of the configuration;
+//! signs of life and hand-overs always go out. What belongs to a caller's request
+//! or feed is not counted: it grows with the traffic and not with the fleet.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -17,10 +23,13 @@
 use futures::SinkExt;
 use futures::StreamExt;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::allowance::Bucket;
+use crate::allowance::Rate;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
@@ -29,6 +38,7 @@
 use crate::metric::Metrics;
 use crate::peer::Body;
 use crate::peer::Entry;
+use crate::peer::Heartbeat;
 use crate::peer::Pull;
 use crate::peer::Push;
 use crate::wire;
@@ -43,7 +53,8 @@
 
 /// The sending side, shared by workers and control task.
 ///
-/// Lock order: `addresses` and `guard` are leaves, not held while sending.
+/// Lock order: `addresses`, `guard` and `budgets` are leaves, not held while
+/// sending.
 #[derive(Debug)]
 pub(crate) struct Link {
     me: id::Holder,
@@ -52,6 +63,8 @@
     sequence: AtomicU64,
     addresses: RwLock<HashMap<id::Holder, SocketAddr>>,
     guard: Mutex<Guard>,
+    rate: Rate,
+    budgets: Mutex<HashMap<SocketAddr, Bucket>>,
     metrics: Arc<Metrics>,
 }
 
@@ -60,6 +73,7 @@
         me: id::Holder,
         keys: Keys,
         socket: UdpSocket,
+        rate: Rate,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
@@ -69,6 +83,8 @@
             sequence: AtomicU64::new(0),
             addresses: RwLock::default(),
             guard: Mutex::default(),
+            rate,
+            budgets: Mutex::default(),
             metrics,
         }
     }
@@ -82,27 +98,86 @@
         if let Ok(mut known) = self.addresses.write() {
             *known = addresses.collect();
         }
+        let now = Instant::now();
+        self.budgets().retain(|_, bucket| !bucket.is_full(now));
+    }
+
+    fn budgets(&self) -> MutexGuard<'_, HashMap<SocketAddr, Bucket>> {
+        self.budgets.lock().unwrap_or_else(|lock| lock.into_inner())
+    }
+
+    /// Spends from the budget of one peer.
+    fn spend<T>(&self, peer: SocketAddr, spend: impl FnOnce(&mut Bucket, Instant) -> T) -> T {
+        let now = Instant::now();
+        let mut budgets = self.budgets();
+        let bucket = budgets.entry(peer);
+        spend(bucket.or_insert_with(|| Bucket::new(self.rate, now)), now)
     }
 
     /// Sends a message to a life of an instance; dropped if it is not known.
     pub(crate) fn send(&self, to: &id::Holder, body: Body) {
-        let address = self.addresses.read().ok();
-        let address = address.and_then(|known| known.get(to).copied());
-        if let Some(address) = address {
+        if let Some(address) = self.address(to) {
             self.send_to(address, to.instance.as_str(), body);
         }
     }
 
+    fn address(&self, holder: &id::Holder) -> Option<SocketAddr> {
+        let addresses = self.addresses.read().ok()?;
+        addresses.get(holder).copied()
+    }
+
     /// Sends a message to an address; the receiver's name may be unknown.
     pub(crate) fn send_to(&self, address: SocketAddr, to: &str, body: Body) {
         let kind = body.kind();
-        let frame = self.seal(to, body);
+        let frame = match body {
+            Body::Heartbeat(message) => self.seal_heartbeat(address, to, message),
+            Body::Yield(_) => self.seal_essential(address, to, body),
+            _ => self.seal(to, body),
+        };
         self.metrics
             .peer_message(kind, Direction::Sent, frame.len());
         // A datagram that cannot be sent is like one that is lost on the way.
         let _ = self.socket.send_to(&frame, address);
     }
 
+    /// A heartbeat, without its loads if the budget has no room for them. A missing
+    /// sign of life would make the peer suspect this instance and take its slices;
+    /// loads that are a second older only make its choices a little worse.
+    fn seal_heartbeat(&self, address: SocketAddr, to: &str, message: Heartbeat) -> Vec<u8> {
+        let bare = Heartbeat {
+            loads: Vec::new(),
+            trimmed: true,
+            ..message.clone()
+        };
+        let frame = self.seal(to, Body::Heartbeat(message));
+        if self.spend(address, |bucket, now| bucket.take_many(frame.len(), now)) {
+            return frame;
+        }
+        self.metrics.peer_withheld("heartbeat");
+        self.seal_essential(address, to, Body::Heartbeat(bare))
+    }
+
+    /// A message that goes out whatever the budget.
+    fn seal_essential(&self, address: SocketAddr, to: &str, body: Body) -> Vec<u8> {
+        let frame = self.seal(to, body);
+        self.spend(address, |bucket, now| bucket.drain(frame.len(), now));
+        frame
+    }
+
+    /// Pays for one side of a copy, or refuses until the last one is paid off.
+    fn pay(&self, address: SocketAddr, kind: &'static str, bytes: usize) -> Result<()> {
+        if self.spend(address, |bucket, now| bucket.borrow(bytes, now)) {
+            self.metrics.peer_message(kind, Direction::Sent, bytes);
+            return Ok(());
+        }
+        self.metrics.peer_withheld(kind);
+        Err(Error::Exhausted {
+            step: "copy of the configuration",
+            peer: address.to_string(),
+            rate: self.rate,
+        })
+    }
+
     fn seal(&self, to: &str, body: Body) -> Vec<u8> {
         let envelope = Envelope {
             from: self.me.to_string(),
@@ -133,11 +208,10 @@
     /// Asks a peer for everything newer than what is here.
     pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Vec<Entry>> {
         let exchange = async {
+            let frame = self.seal("", Body::Pull(have));
+            self.pay(peer, "pull", frame.len())?;
             let stream = TcpStream::connect(peer).await.map_err(|e| io(peer, e))?;
             let mut framed = framed(stream);
-            let frame = self.seal("", Body::Pull(have));
-            self.metrics
-                .peer_message("pull", Direction::Sent, frame.len());
             framed
                 .send(Bytes::from(frame))
                 .await
@@ -178,8 +252,8 @@
                 entries: entries(pull),
             };
             let answer = self.seal(frame.from.instance.as_str(), Body::Push(push));
-            self.metrics
-                .peer_message("push", Direction::Sent, answer.len());
+            let address = self.address(&frame.from).unwrap_or(peer);
+            self.pay(address, "push", answer.len())?;
             framed
                 .send(Bytes::from(answer))
                 .await
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -69,6 +69,10 @@
     "godwitreel_peer_bytes_total",
     "Bytes of messages between entry instances, by kind and direction",
 );
+const PEER_WITHHELD: Name = (
+    "godwitreel_peer_withheld_total",
+    "Messages to peers that were cut or put off to keep the byte budget, by kind",
+);
 const PLATFORM_CALLS: Name = (
     "godwitreel_platform_calls_total",
     "Calls sent to the platform, by kind",
@@ -115,6 +119,7 @@
     EVENTS,
     PEER_MESSAGES,
     PEER_BYTES,
+    PEER_WITHHELD,
     PLATFORM_CALLS,
     PLATFORM_FAILURES,
     HOME_SLICES,
@@ -195,6 +200,11 @@
     direction: Direction,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: Service,
@@ -218,6 +228,7 @@
     events: Family<EventLabels, Counter>,
     peer_messages: Family<PeerLabels, Counter>,
     peer_bytes: Family<PeerLabels, Counter>,
+    peer_withheld: Family<KindLabels, Counter>,
     durations: Family<ServiceLabels, Histogram>,
     gauges: Gauges,
     services: RwLock<HashSet<id::Service>>,
@@ -231,6 +242,7 @@
             events: Family::default(),
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
+            peer_withheld: Family::default(),
             durations: Family::new_with_constructor(|| Histogram::new(BUCKETS)),
             gauges: Gauges::default(),
             services: RwLock::default(),
@@ -248,6 +260,7 @@
         register(registry, EVENTS, self.events.clone());
         register(registry, PEER_MESSAGES, self.peer_messages.clone());
         register(registry, PEER_BYTES, self.peer_bytes.clone());
+        register(registry, PEER_WITHHELD, self.peer_withheld.clone());
         register(registry, HOME_SLICES, self.gauges.homes.clone());
         register(registry, BACKUP_SLICES, self.gauges.backups.clone());
         register(registry, ALONE_SLICES, self.gauges.alone.clone());
@@ -295,6 +308,12 @@
         self.peer_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
+    /// Counts a message to a peer that was cut or put off.
+    pub fn peer_withheld(&self, kind: &'static str) {
+        let labels = KindLabels { kind };
+        self.peer_withheld.get_or_create(&labels).inc();
+    }
+
     /// Sets all gauges.
     pub fn set(&self, levels: &Levels) {
         let gauges = &self.gauges;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -196,6 +196,10 @@
     /// Loads that changed.
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<Load>,
+    /// Whether the loads were left out to keep the byte budget; the ones before
+    /// stand.
+    #[prost(bool, tag = "7")]
+    pub trimmed: bool,
 }
 
 /// Asks a backup to become home of slices that the sender is home of.
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -204,7 +204,9 @@
             }
         }
         self.compare(now, from, &message);
-        self.loads.insert(from.instance.clone(), message.loads);
+        if !message.trimmed {
+            self.loads.insert(from.instance.clone(), message.loads);
+        }
         self.spread_loads(now);
     }
 
@@ -291,6 +293,7 @@
             leaving: self.shared.control().is_leaving(),
             digest: config.digest(),
             loads: loads.take(MAX_LOADS).collect(),
+            trimmed: false,
         })
     }
 
