--- a/src/metric.rs
+++ b/src/metric.rs
@@ -51,6 +51,9 @@
 /// Label of the services past [`MAX_SERVICES`]; no service can have this name.
 const OTHER: &str = "(other)";
 
+/// Kinds of messages that can be withheld from a peer.
+const WITHHELD: [&str; 3] = ["heartbeat", "pull", "push"];
+
 /// Suffix that the encoder gives every counter.
 const COUNTER_SUFFIX: &str = "_total";
 
@@ -275,8 +278,8 @@
         register(registry, REQUEST_DURATION, self.durations.clone());
     }
 
-    /// Shows every reason at 0, since a rate cannot be taken of a counter whose
-    /// first value is already 1.
+    /// Shows every reason and all that can be withheld at 0, since a rate cannot be
+    /// taken of a counter whose first value is already 1.
     fn start_at_zero(&self) {
         for reason in Reason::ALL {
             let labels = EventLabels {
@@ -285,6 +288,9 @@
             };
             drop(self.events.get_or_create(&labels));
         }
+        for kind in WITHHELD {
+            drop(self.peer_withheld.get_or_create(&KindLabels { kind }));
+        }
     }
 
     /// Counts a note and, for an answered request, observes its duration.
