--- /dev/null
+++ b/tests/parts.rs
@@ -0,0 +1,291 @@
+//! Parts of larger bodies in the decision core: what is late, refused or copied.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coap_lite::CoapOption;
+use coap_lite::MessageClass;
+use coap_lite::Packet;
+use coap_lite::RequestType;
+use coap_lite::block_handler::BlockValue;
+use godwitreel::action::Action;
+use godwitreel::codec;
+use godwitreel::codec::Inbound;
+use godwitreel::document;
+use godwitreel::document::Policy;
+use godwitreel::engine;
+use godwitreel::engine::Engine;
+use godwitreel::engine::PATHS;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::member::View;
+use godwitreel::request::Answer;
+use godwitreel::request::Flow;
+use godwitreel::request::Outcome;
+use godwitreel::request::Part;
+use godwitreel::request::Request;
+use godwitreel::request::Verdict;
+use godwitreel::server::Server;
+use godwitreel::snapshot::Service;
+use godwitreel::snapshot::Snapshot;
+use godwitreel::table::Row;
+use godwitreel::table::Table;
+use tokio::time::Instant;
+
+const SERVERS: usize = 8;
+const HOUR: Duration = Duration::from_secs(3_600);
+const REQUEST_TAG: CoapOption = CoapOption::Unknown(292);
+
+fn flow() -> Flow {
+    Flow {
+        service: "ledger".parse().expect("a service"),
+        caller: "127.0.0.1:4000".parse().expect("an endpoint"),
+    }
+}
+
+fn server(number: usize) -> Arc<Server> {
+    let port = 5_000 + number;
+    let listed = document::Server {
+        service: flow().service,
+        zone: "bole".parse().expect("a zone"),
+        address: format!("127.0.0.1:{port}").parse().expect("an endpoint"),
+        health: "127.0.0.1:6000".parse().expect("an endpoint"),
+        slots: 2,
+        state: document::State::Up,
+    };
+    let name = format!("l{number}").parse().expect("a server");
+    Arc::new(Server::new(name, &listed))
+}
+
+/// A home without a backup, which alone decides.
+fn engine(now: Instant) -> Engine {
+    let me: id::Holder = "bole-1#1".parse().expect("a holder");
+    let mut engine = Engine::new(engine::Settings {
+        me: me.clone(),
+        zone: "bole".parse().expect("a zone"),
+        worker: 0,
+        workers: 1,
+        hash_key: 0,
+        max_parked: 10,
+        max_flows: 1_000,
+        seed: 7,
+    });
+    let servers: Vec<_> = (0..SERVERS).map(server).collect();
+    for server in &servers {
+        server.confirm(now, HOUR);
+    }
+    let service = Service {
+        id: flow().service,
+        profile_id: "batch".parse().expect("a profile"),
+        revision: id::Revision(1),
+        profile: Arc::new(document::Profile {
+            policy: Policy::TwoChoices,
+            slow_start_s: 0,
+            retry_budget_percent: 100,
+            ..document::Profile::default()
+        }),
+        servers,
+    };
+    let services = [(service.id.clone(), Arc::new(service))].into();
+    engine.handle(now, Event::Snapshot(Arc::new(Snapshot { services })));
+    engine.handle(
+        now,
+        Event::Members(Arc::new(View {
+            live: [me.clone()].into(),
+            authority_until: Some(now + HOUR),
+            ..View::default()
+        })),
+    );
+    let mut table = Table::new(1);
+    let row = Row {
+        epoch: id::Epoch(1),
+        home: Some(me),
+        ..Row::default()
+    };
+    table.advance(id::Slice(0), row);
+    engine.handle(now, Event::Table(Arc::new(table)));
+    engine
+}
+
+/// A request with one block of a body, as its datagram.
+fn datagram(method: RequestType, path: &str, block: (CoapOption, usize), tag: u8) -> Bytes {
+    const SIZE: usize = 64;
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Request(method);
+    packet.header.message_id = 100 * u16::from(tag) + block.1 as u16;
+    packet.set_token(vec![tag, block.1 as u8]);
+    packet.add_option(CoapOption::UriPath, path.into());
+    packet.add_option(REQUEST_TAG, vec![tag]);
+    let value = BlockValue::new(block.1, true, SIZE).expect("a block");
+    packet.add_option_as(block.0, value);
+    packet.to_bytes().expect("a datagram").into()
+}
+
+fn request(datagram: &Bytes) -> Request {
+    match codec::read_caller(&flow(), datagram).expect("a request") {
+        Inbound::Request(request) => request,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn put(number: usize, tag: u8) -> Request {
+    let block = (CoapOption::Block1, number);
+    request(&datagram(RequestType::Put, "sheet", block, tag))
+}
+
+struct Sent {
+    server: Arc<Server>,
+    attempt: id::Attempt,
+}
+
+fn forwards(actions: &[Action]) -> Vec<Sent> {
+    let forward = |action: &Action| match action {
+        Action::Forward {
+            server, attempt, ..
+        } => Some(Sent {
+            server: Arc::clone(server),
+            attempt: *attempt,
+        }),
+        _ => None,
+    };
+    actions.iter().filter_map(forward).collect()
+}
+
+fn outcome(actions: &[Action]) -> Option<Outcome> {
+    actions.iter().find_map(|action| match action {
+        Action::Answer { outcome, .. } => Some(outcome.clone()),
+        _ => None,
+    })
+}
+
+fn give(engine: &mut Engine, now: Instant, request: Request) -> Vec<Action> {
+    engine.handle(now, Event::Request { request, hops: 0 })
+}
+
+fn reply(engine: &mut Engine, now: Instant, sent: &Sent, verdict: Verdict) -> Vec<Action> {
+    let answer = Answer {
+        verdict,
+        feed: false,
+        more: verdict == Verdict::Handled,
+        retry_after: None,
+        datagram: Bytes::from_static(b"answer"),
+    };
+    let event = Event::Answer {
+        from: sent.server.address,
+        attempt: sent.attempt,
+        answer,
+    };
+    engine.handle(now, event)
+}
+
+/// Sends a part that must go out once, and answers it.
+fn exchange(engine: &mut Engine, now: Instant, request: Request) -> Sent {
+    let actions = give(engine, now, request);
+    let sent = forwards(&actions).pop().expect("a sending");
+    let actions = reply(engine, now, &sent, Verdict::Handled);
+    assert!(matches!(outcome(&actions), Some(Outcome::Answered(_))));
+    sent
+}
+
+#[test]
+fn parts_are_named_by_what_they_have_in_common() {
+    let part = |method, path, option, number, tag| {
+        request(&datagram(method, path, (option, number), tag)).part
+    };
+    let first = part(RequestType::Put, "a", CoapOption::Block1, 0, 1);
+    let later = part(RequestType::Put, "a", CoapOption::Block1, 3, 1);
+    assert_eq!(first.body, later.body);
+    assert_eq!((first.later, first.upload), (false, true));
+    assert_eq!((later.later, later.upload), (true, true));
+    let load = part(RequestType::Get, "a", CoapOption::Block2, 2, 1);
+    assert_eq!((load.later, load.upload), (true, false));
+    for other in [
+        load,
+        part(RequestType::Put, "b", CoapOption::Block1, 0, 1),
+        part(RequestType::Put, "a", CoapOption::Block1, 0, 2),
+        part(RequestType::Post, "a", CoapOption::Block1, 0, 1),
+    ] {
+        assert_ne!(other.body, first.body);
+    }
+    assert!(!Part::default().later);
+}
+
+/// Two bodies of one caller are under way. Each later part goes to the server and
+/// leaves by the path of its own body's first part.
+#[test]
+fn later_parts_follow_the_first() {
+    let now = Instant::now();
+    let mut engine = engine(now);
+    for tag in 1..20 {
+        let first = exchange(&mut engine, now, put(0, tag));
+        let other = exchange(&mut engine, now, put(0, tag + 100));
+        for number in 1..4 {
+            for (begun, tag) in [(&first, tag), (&other, tag + 100)] {
+                let next = exchange(&mut engine, now, put(number, tag));
+                assert_eq!(next.server.id, begun.server.id);
+                assert_eq!(next.attempt.0 % PATHS, begun.attempt.0 % PATHS);
+            }
+        }
+    }
+}
+
+/// The server is slow to answer a part. Another one has none of the earlier parts
+/// and would call the body incomplete, so the same one is asked again.
+#[test]
+fn a_late_part_is_sent_again_to_its_own_server() {
+    let now = Instant::now();
+    let mut engine = engine(now);
+    let first = exchange(&mut engine, now, put(0, 1));
+    let sent = forwards(&give(&mut engine, now, put(1, 1)));
+    assert_eq!(sent.len(), 1);
+    let later = now + Duration::from_millis(1_100);
+    let again = forwards(&engine.handle(later, Event::Tick));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].server.id, first.server.id);
+    assert_eq!(again[0].attempt.0 % PATHS, first.attempt.0 % PATHS);
+}
+
+/// The server sheds a part. The caller is told to come back and finds its body
+/// where it left it.
+#[test]
+fn a_refused_part_is_not_tried_elsewhere() {
+    let now = Instant::now();
+    let mut engine = engine(now);
+    let first = exchange(&mut engine, now, put(0, 1));
+    let sent = forwards(&give(&mut engine, now, put(1, 1)));
+    let actions = reply(&mut engine, now, &sent[0], Verdict::Refused);
+    assert!(forwards(&actions).is_empty());
+    assert!(matches!(outcome(&actions), Some(Outcome::NotRun { .. })));
+    let next = exchange(&mut engine, now, put(2, 1));
+    assert_eq!(next.server.id, first.server.id);
+}
+
+/// The answer to the last part is lost and the caller sends a copy. The server
+/// has forgotten the body by then: it would call the copy incomplete, and the
+/// caller would take a sheet that has arrived for lost.
+#[test]
+fn a_copy_of_an_upload_part_gets_the_first_answer() {
+    let now = Instant::now();
+    let mut engine = engine(now);
+    exchange(&mut engine, now, put(0, 1));
+    exchange(&mut engine, now, put(1, 1));
+    let actions = give(&mut engine, now + Duration::from_secs(2), put(1, 1));
+    assert!(forwards(&actions).is_empty());
+    let answer = Outcome::Answered(Bytes::from_static(b"answer"));
+    assert_eq!(outcome(&actions), Some(answer));
+}
+
+/// A body that was given up is forgotten: nothing of it may pile up.
+#[test]
+fn a_body_given_up_is_forgotten() {
+    let now = Instant::now();
+    let mut engine = engine(now);
+    exchange(&mut engine, now, put(0, 1));
+    assert_eq!(engine.records(), 1);
+    let later = now + Duration::from_secs(120);
+    engine.handle(later, Event::Tick);
+    assert_eq!(engine.records(), 0);
+    // What the first part chose does not bind any more; a server is still found.
+    assert_eq!(forwards(&give(&mut engine, later, put(1, 1))).len(), 1);
+}
