--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::edge;
 use crate::engine;
 use crate::engine::Engine;
+use crate::engine::PATHS;
 use crate::error::Error;
 use crate::error::Result;
 use crate::explain;
@@ -46,7 +47,6 @@
 use crate::wire::Keys;
 use crate::worker::Observe;
 use crate::worker::Outlet;
-use crate::worker::PATHS;
 use crate::worker::Pool;
 
 /// How long a stopping instance passes datagrams on after it has handed its
@@ -97,7 +97,13 @@
     };
     let client = Client::new(settings.platform.clone(), options)?;
     let metrics = Arc::new(Metrics::new(client.clone()));
-    let link = Arc::new(Link::new(me.clone(), keys, socket, Arc::clone(&metrics)));
+    let link = Arc::new(Link::new(
+        me.clone(),
+        keys,
+        socket,
+        settings.peer_bytes_per_second,
+        Arc::clone(&metrics),
+    ));
     let ring = Arc::new(explain::Ring::default());
     let ledger = Arc::new(Mutex::new(Ledger::new(me.clone(), Instant::now())));
     let (joined, joins) = mpsc::unbounded_channel();
@@ -113,7 +119,7 @@
         message: AtomicUsize::new(me.incarnation.0 as usize),
     });
     let engines = engines(&settings, &me);
-    let pool = Pool::start(engines, &outlet, settings.slices, settings.hash_key);
+    let pool = Pool::start(engines, &outlet, settings.slices, settings.hash_key)?;
     let control = Control::new(control_settings(&settings, &me), Instant::now());
     let shared = Arc::new(Shared::new(Parts {
         settings,
@@ -130,7 +136,7 @@
     let (told, tells) = mpsc::unbounded_channel();
     edge::peers(Arc::clone(&shared), &receiving, told.clone())?;
     edge::copies(Arc::clone(&shared), copies);
-    for path in 0..PATHS {
+    for path in 0..PATHS as usize {
         edge::answers(Arc::clone(&shared), path)?;
     }
     let (stop, stopping) = watch::channel(false);
@@ -211,6 +217,8 @@
         // The control task held the sender, so the registration is withdrawn now.
         let withdraw = tokio::time::timeout(LINGER, self.registration);
         let _ = withdraw.await;
+        // Whoever starts an instance anew in this process needs its addresses.
+        let _ = tokio::time::timeout(LINGER, self.shared.closed()).await;
         info!(self.shared.log, "stopped"; "cut" => stopped.cut, "kept" => stopped.kept);
         stopped
     }
@@ -323,7 +331,10 @@
 
 async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let router = http::router(Arc::clone(&shared));
-    if let Err(error) = axum::serve(listener, router).await {
+    // Each open connection is a task of its own, which would outlive this one and
+    // answer for an instance that has stopped.
+    let serving = axum::serve(listener, router).with_graceful_shutdown(shared.closing());
+    if let Err(error) = serving.await {
         info!(shared.log, "status port closed"; "error" => %error);
     }
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -45,6 +45,11 @@
 /// Bits of an attempt's number that count; the worker's number stands above them.
 pub const ATTEMPT_BITS: u32 = 56;
 
+/// Sockets toward the backend servers; an attempt's number picks one of them.
+/// Something between the two ends may lose track of one of them; a feed that fell
+/// silent is registered again from another.
+pub const PATHS: u64 = 4;
+
 /// What an engine is told once.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -96,7 +101,6 @@
     /// Leaving servers whose feeds are being moved.
     vacated: HashSet<id::Server>,
     swept: Option<Instant>,
-    pins_swept: Option<Instant>,
     ticked: Option<Instant>,
     /// After a long pause: until when waiting datagrams are being read.
     catching_up_until: Option<Instant>,
@@ -131,7 +135,6 @@
             releases: VecDeque::new(),
             vacated: HashSet::new(),
             swept: None,
-            pins_swept: None,
             ticked: None,
             catching_up_until: None,
             records: 0,
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -22,7 +22,7 @@
 /// Time after a pause in which waiting datagrams are still being read.
 const CATCH_UP: Duration = Duration::from_millis(500);
 
-/// Time between searches for leaving servers.
+/// Time between searches for leaving servers and for bodies that were given up.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 impl Engine {
@@ -48,7 +48,7 @@
         if self.swept.is_none_or(|swept| now >= swept + SWEEP_EVERY) {
             self.swept = Some(now);
             self.vacate();
-            self.drop_pins(now);
+            self.expire_pins(now);
         }
         self.move_feeds(now);
     }
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -7,6 +7,7 @@
 
 use super::ATTEMPT_BITS;
 use super::Engine;
+use super::PATHS;
 use crate::action::Action;
 use crate::action::Delivery;
 use crate::action::Note;
@@ -17,12 +18,12 @@
 use crate::reason::Reason;
 use crate::record::FeedKey;
 use crate::record::Phase;
+use crate::record::Pin;
 use crate::record::Purpose;
 use crate::record::Record;
 use crate::record::Sending;
 use crate::record::Timer;
 use crate::request::Answer;
-use crate::request::Flow;
 use crate::request::Key;
 use crate::request::Kind;
 use crate::request::Outcome;
@@ -114,8 +115,8 @@
         let (part, kind) = (record.part, record.kind);
         let tried = record.tried.clone();
         let waiting = !record.attempts.is_empty();
-        let pinned = if part {
-            self.pinned(now, slice, &service, &key.flow, &tried)
+        let pinned = if part.later {
+            self.pinned(now, slice, &service, key)
         } else {
             None
         };
@@ -142,31 +143,54 @@
         }
     }
 
-    /// The server that has the other parts of the flow's larger body, even if it
-    /// is leaving: the body is work in progress there.
+    /// The server that has the earlier parts of the body, even if it is leaving: the
+    /// body is work in progress there. It is asked again if it is late, since no
+    /// other server can do anything with the part.
     fn pinned(
         &self,
         now: Instant,
         slice: id::Slice,
         service: &Service,
-        flow: &Flow,
-        tried: &[id::Server],
+        key: &Key,
     ) -> Option<Arc<Server>> {
-        let (id, used) = self.slices.get(&slice)?.pins.get(flow)?;
-        let server = service.server(id)?;
-        let fresh = now < *used + PIN_TIME && !tried.contains(id);
-        let usable = fresh && server.state().is_confirmed(now);
+        let pin = self.pin(slice, key)?;
+        let server = service.server(&pin.server)?;
+        let usable = now < pin.used + PIN_TIME && server.state().is_confirmed(now);
         usable.then(|| Arc::clone(server))
     }
 
-    /// Forgets servers of larger bodies that came to their end.
-    pub(super) fn drop_pins(&mut self, now: Instant) {
-        if self.pins_swept.is_some_and(|swept| now < swept + PIN_TIME) {
+    fn pin(&self, slice: id::Slice, key: &Key) -> Option<&Pin> {
+        let state = self.slices.get(&slice)?;
+        let record = state.records.get(key)?;
+        state.pins.get(&(key.flow.clone(), record.part.body))
+    }
+
+    fn set_pin(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        key: &Key,
+        server: &Server,
+        attempt: id::Attempt,
+    ) {
+        let Some(state) = self.slices.get_mut(&slice) else {
             return;
-        }
-        self.pins_swept = Some(now);
+        };
+        let Some(record) = state.records.get(key) else {
+            return;
+        };
+        let pin = Pin {
+            server: server.id.clone(),
+            attempt,
+            used: now,
+        };
+        state.pins.insert((key.flow.clone(), record.part.body), pin);
+    }
+
+    /// Forgets the servers of bodies that were given up.
+    pub(super) fn expire_pins(&mut self, now: Instant) {
         for state in self.slices.values_mut() {
-            state.pins.retain(|_, (_, used)| now < *used + PIN_TIME);
+            state.pins.retain(|_, pin| now < pin.used + PIN_TIME);
         }
     }
 
@@ -178,7 +202,7 @@
         service: &Service,
         server: Arc<Server>,
     ) {
-        let attempt = self.new_attempt();
+        let attempt = self.attempt_for(slice, key, &server);
         let Some(record) = self.record(slice, key) else {
             return;
         };
@@ -187,11 +211,10 @@
         record.tried.push(server.id.clone());
         let deadline = record.born + service.profile.deadline();
         let once = record.kind.runs_once();
-        let part = record.part;
+        let later = record.part.later;
         let datagram = record.datagram.clone();
-        if part && let Some(state) = self.slices.get_mut(&slice) {
-            let pin = (server.id.clone(), now);
-            state.pins.insert(key.flow.clone(), pin);
+        if later {
+            self.set_pin(now, slice, key, &server, attempt);
         }
         server.state().outstanding += 1;
         if !once {
@@ -216,6 +239,24 @@
         });
     }
 
+    /// A number for a sending to this server. A server puts a body together by the
+    /// endpoint that its parts come from: a part from another socket of ours would
+    /// be refused as incomplete.
+    fn attempt_for(&mut self, slice: id::Slice, key: &Key, server: &Server) -> id::Attempt {
+        let mut attempt = self.new_attempt();
+        let later = self
+            .record(slice, key)
+            .is_some_and(|record| record.part.later);
+        let pin = self.pin(slice, key);
+        let pin = pin.filter(|pin| later && pin.server == server.id);
+        if let Some(path) = pin.map(|pin| pin.attempt.0 % PATHS) {
+            while attempt.0 % PATHS != path {
+                attempt = self.new_attempt();
+            }
+        }
+        attempt
+    }
+
     pub(super) fn new_attempt(&mut self) -> id::Attempt {
         let mask = (1 << ATTEMPT_BITS) - 1;
         self.next_attempt = (self.next_attempt + 1) & mask;
@@ -316,10 +357,13 @@
         record.attempts.retain(|open| *open != attempt);
         let waiting = !record.attempts.is_empty();
         let tries = record.tried.len() as u32;
+        let later = record.part.later;
         let Some(service) = self.service(&key.flow.service) else {
             return;
         };
-        let more = tries < service.profile.max_attempts;
+        // Another server has none of the earlier parts: the caller, told to come
+        // back, can go on where it is.
+        let more = tries < service.profile.max_attempts && !later;
         if more && self.usage(&service.id).budget.withdraw() {
             self.note_request(Reason::Retried, slice, key);
             self.dispatch(now, slice, key);
@@ -358,11 +402,8 @@
         record.attempts.retain(|open| *open != attempt);
         let open = record.kind == Kind::Open && answer.feed;
         let (token, datagram) = (record.token, record.datagram.clone());
-        if answer.more
-            && let Some(state) = self.slices.get_mut(&slice)
-        {
-            let pin = (sending.server.id.clone(), now);
-            state.pins.insert(key.flow.clone(), pin);
+        if answer.more {
+            self.set_pin(now, slice, key, &sending.server, attempt);
         }
         if open {
             let feed = FeedKey {
@@ -396,7 +437,8 @@
         record.phase = Phase::Settled(outcome.clone());
         record.datagram = bytes::Bytes::new();
         let attempts = std::mem::take(&mut record.attempts);
-        let (kind, token, confirmable) = (record.kind, record.token, record.confirmable);
+        let (token, confirmable, kept) = (record.token, record.confirmable, record.is_kept());
+        let once = record.kind.runs_once();
         let (separate, sequence) = (record.separate, record.sequence);
         let born = record.born;
         let server = match outcome {
@@ -409,7 +451,7 @@
         self.close_account(slice, key);
         let elapsed = now.duration_since(born);
         self.note_settled(reason, slice, key, server, elapsed);
-        if kind.runs_once() {
+        if once {
             self.tell_new_home(slice, key, token, &outcome);
         }
         let delivery = separate.map_or(Delivery::Direct, |message| Delivery::Separate { message });
@@ -426,7 +468,7 @@
             self.receipts.insert((key.flow.clone(), message), key.id);
             self.schedule(now + RESEND_AFTER, Timer::Resend(slice, key.clone()));
         }
-        if kind.runs_once() {
+        if kept {
             self.schedule_forget(now, slice, key);
         } else if separate.is_none() {
             self.forget(slice, key);
@@ -523,7 +565,7 @@
             return;
         };
         record.resends = MAX_RESENDS;
-        if !record.kind.runs_once() {
+        if !record.is_kept() {
             self.forget(slice, key);
         }
     }
@@ -538,7 +580,7 @@
             return;
         };
         if record.resends >= MAX_RESENDS {
-            if !record.kind.runs_once() {
+            if !record.is_kept() {
                 self.forget(slice, key);
             }
             return;
--- a/src/label.rs
+++ b/src/label.rs
@@ -64,3 +64,8 @@
 pub(crate) struct ServiceLabels {
     pub(crate) service: Service,
 }
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabels {
+    pub(crate) kind: &'static str,
+}
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -25,6 +25,7 @@
 use crate::collector::Platform;
 use crate::id;
 use crate::label::EventLabels;
+use crate::label::KindLabels;
 use crate::label::PeerLabels;
 use crate::label::Service;
 use crate::label::ServiceLabels;
@@ -44,6 +45,9 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Kinds of messages that can be withheld from a peer.
+const WITHHELD: [&str; 3] = ["heartbeat", "pull", "push"];
+
 /// Suffix that the encoder gives every counter.
 pub(crate) const COUNTER_SUFFIX: &str = "_total";
 
@@ -62,6 +66,10 @@
     "godwitreel_peer_bytes_total",
     "Bytes of messages between entry instances, by kind and direction",
 );
+const PEER_WITHHELD: Name = (
+    "godwitreel_peer_withheld_total",
+    "Messages to peers that were cut or put off to keep the byte budget, by kind",
+);
 pub(crate) const PLATFORM_CALLS: Name = (
     "godwitreel_platform_calls_total",
     "Calls sent to the platform, by kind",
@@ -108,6 +116,7 @@
     EVENTS,
     PEER_MESSAGES,
     PEER_BYTES,
+    PEER_WITHHELD,
     PLATFORM_CALLS,
     PLATFORM_FAILURES,
     HOME_SLICES,
@@ -157,6 +166,7 @@
     events: Family<EventLabels, Counter>,
     peer_messages: Family<PeerLabels, Counter>,
     peer_bytes: Family<PeerLabels, Counter>,
+    peer_withheld: Family<KindLabels, Counter>,
     durations: Family<ServiceLabels, Histogram>,
     gauges: Gauges,
     services: RwLock<HashSet<id::Service>>,
@@ -170,6 +180,7 @@
             events: Family::default(),
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
+            peer_withheld: Family::default(),
             durations: Family::new_with_constructor(|| Histogram::new(BUCKETS)),
             gauges: Gauges::default(),
             services: RwLock::default(),
@@ -187,6 +198,7 @@
         register(registry, EVENTS, self.events.clone());
         register(registry, PEER_MESSAGES, self.peer_messages.clone());
         register(registry, PEER_BYTES, self.peer_bytes.clone());
+        register(registry, PEER_WITHHELD, self.peer_withheld.clone());
         register(registry, HOME_SLICES, self.gauges.homes.clone());
         register(registry, BACKUP_SLICES, self.gauges.backups.clone());
         register(registry, ALONE_SLICES, self.gauges.alone.clone());
@@ -201,8 +213,8 @@
         register(registry, REQUEST_DURATION, self.durations.clone());
     }
 
-    /// Shows every reason at 0, since a rate cannot be taken of a counter whose
-    /// first value is already 1.
+    /// Shows every reason and all that can be withheld at 0, since a rate cannot be
+    /// taken of a counter whose first value is already 1.
     fn start_at_zero(&self) {
         for reason in Reason::ALL {
             let labels = EventLabels {
@@ -211,6 +223,9 @@
             };
             drop(self.events.get_or_create(&labels));
         }
+        for kind in WITHHELD {
+            drop(self.peer_withheld.get_or_create(&KindLabels { kind }));
+        }
     }
 
     /// Counts a note and, for an answered request, observes its duration.
@@ -234,6 +249,12 @@
         self.peer_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
+    /// Counts a message to a peer that was cut or put off.
+    pub fn peer_withheld(&self, kind: &'static str) {
+        let labels = KindLabels { kind };
+        self.peer_withheld.get_or_create(&labels).inc();
+    }
+
     /// Sets all gauges.
     pub fn set(&self, levels: &Levels) {
         let gauges = &self.gauges;
--- a/src/record.rs
+++ b/src/record.rs
@@ -16,6 +16,7 @@
 use crate::request::Key;
 use crate::request::Kind;
 use crate::request::Outcome;
+use crate::request::Part;
 use crate::request::Request;
 use crate::request::Token;
 use crate::server::Server;
@@ -49,7 +50,7 @@
     pub(crate) kind: Kind,
     pub(crate) token: Token,
     pub(crate) confirmable: bool,
-    pub(crate) part: bool,
+    pub(crate) part: Part,
     pub(crate) born: Instant,
     /// Number of the separate answer, once receipt has been acknowledged.
     pub(crate) separate: Option<u16>,
@@ -71,7 +72,7 @@
             kind: Kind::Once,
             token: Token(0),
             confirmable: true,
-            part: false,
+            part: Part::default(),
             born: now,
             separate: None,
             resends: 0,
@@ -87,6 +88,13 @@
         matches!(self.phase, Phase::Settled(_))
     }
 
+    /// Whether it is kept after its outcome, to answer copies with the same. A
+    /// server forgets a body once it is whole: a copy of the last part, although
+    /// idempotent by its method, would be refused as incomplete.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.kind.runs_once() || self.part.upload
+    }
+
     /// Whether this instance works on it.
     pub(crate) fn is_open(&self) -> bool {
         matches!(self.phase, Phase::Claiming(_) | Phase::Sent)
@@ -162,6 +170,16 @@
     pub(crate) copied: u64,
 }
 
+/// The server that holds the parts of a larger body.
+#[derive(Clone, Debug)]
+pub(crate) struct Pin {
+    pub(crate) server: id::Server,
+    /// The sending of an earlier part, whose path the later ones share.
+    pub(crate) attempt: id::Attempt,
+    /// When a part was last sent.
+    pub(crate) used: Instant,
+}
+
 /// Everything kept for one slice.
 #[derive(Debug, Default)]
 pub(crate) struct Slice {
@@ -174,8 +192,8 @@
     pub(crate) replica: Option<Replica>,
     pub(crate) records: HashMap<Key, Record>,
     pub(crate) feeds: BTreeMap<FeedKey, Feed>,
-    /// Servers that hold parts of larger bodies, with the time of last use.
-    pub(crate) pins: HashMap<Flow, (id::Server, Instant)>,
+    /// Servers that hold parts of larger bodies, by the bodies' names.
+    pub(crate) pins: HashMap<(Flow, u64), Pin>,
     /// Open requests by flow.
     pub(crate) busy: HashMap<Flow, u32>,
 }
--- a/tests/history/fleet.rs
+++ b/tests/history/fleet.rs
@@ -808,6 +808,7 @@
             leaving: node.leaving_since.is_some(),
             digest: 0,
             loads: Vec::new(),
+            trimmed: false,
         });
         let peers = node.control.peers();
         for (member, _) in peers {
--- a/tests/lab/mod.rs
+++ b/tests/lab/mod.rs
@@ -141,7 +141,7 @@
         token: Token(number.into()),
         kind,
         confirmable: true,
-        part: false,
+        part: godwitreel::request::Part::default(),
         datagram: Bytes::copy_from_slice(&number.to_be_bytes()),
     }
 }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -91,7 +91,7 @@
         token: Token(number),
         kind: Kind::Once,
         confirmable: true,
-        part: false,
+        part: godwitreel::request::Part::default(),
         datagram: Bytes::from_static(b"booking"),
     }
 }
--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -9,6 +9,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use godwitreel::status::Status;
@@ -88,14 +90,26 @@
 }
 
 /// An address that is free for UDP and TCP right now.
+///
+/// It lies below the range from which the system gives ports to everyone else:
+/// one from that range could be taken by any socket before the daemon binds it.
 fn free_address() -> SocketAddr {
-    loop {
-        let udp = std::net::UdpSocket::bind(local()).expect("bind");
-        let address = udp.local_addr().expect("address");
-        if std::net::TcpListener::bind(address).is_ok() {
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    // Tests of other processes begin elsewhere.
+    let start = (std::process::id() % u32::from(COUNT)) as u16;
+    for _ in 0..COUNT {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let offset = (start.wrapping_mul(61) % COUNT + taken) % COUNT;
+        let address = (Ipv4Addr::LOCALHOST, FIRST + offset).into();
+        let udp = std::net::UdpSocket::bind(address);
+        let tcp = std::net::TcpListener::bind(address);
+        if udp.is_ok() && tcp.is_ok() {
             return address;
         }
     }
+    panic!("no address is free");
 }
 
 impl Cluster {
