--- /dev/null
+++ b/examples/utils/fixture.rs
@@ -0,0 +1,348 @@
+//! A decision core with a configuration, for benchmarks and slopes.
+
+#![allow(dead_code, reason = "each program uses its own part")]
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitreel::action::Action;
+use godwitreel::config::Config;
+use godwitreel::engine::Engine;
+use godwitreel::engine::Settings;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::member::Member;
+use godwitreel::member::View;
+use godwitreel::peer;
+use godwitreel::platform::Entry;
+use godwitreel::request::Answer;
+use godwitreel::request::Flow;
+use godwitreel::request::Id;
+use godwitreel::request::Kind;
+use godwitreel::request::Request;
+use godwitreel::request::Token;
+use godwitreel::request::Verdict;
+use godwitreel::table::Row;
+use godwitreel::table::Table;
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Slices of the table, as by default.
+pub(crate) const SLICES: u32 = 1_024;
+
+/// Backend servers of the service, as at Abay's dispatch.
+pub(crate) const SERVERS: usize = 15;
+
+/// Longer than any run.
+const LONG: Duration = Duration::from_secs(1 << 24);
+
+/// A CoAP GET as a driver's handset sends it: 4 bytes of token, one path segment.
+pub(crate) const GET: &[u8] =
+    b"\x44\x01\x12\x34\x01\x02\x03\x04\xb5route\xffwhere is the next pickup";
+
+/// A CoAP GET with Observe 0, which opens a feed.
+pub(crate) const OBSERVE: &[u8] = b"\x44\x01\x12\x34\x01\x02\x03\x04\x60\x55route";
+
+/// A CoAP POST of a pickup.
+pub(crate) const POST: &[u8] =
+    b"\x44\x02\x12\x34\x01\x02\x03\x04\xb6pickup\xff{\"kitchen\":42,\"litres\":60}";
+
+/// A server's notification of some 60 bytes.
+pub(crate) const NOTIFICATION: &[u8] =
+    b"\x58\x45\x12\x34\x00\x00\x00\x00\x00\x00\x00\x01\x61\x07\xff{\"stop\":17,\"kitchen\":\"Bole 4\",\"litres\":60}";
+
+/// A name as an id.
+pub(crate) fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a legal name")
+}
+
+/// One life of an instance.
+pub(crate) fn holder(instance: &str) -> id::Holder {
+    id::Holder {
+        instance: name(instance),
+        incarnation: id::Incarnation(1_733_000_000_000_000),
+    }
+}
+
+/// The address of the caller with this number.
+pub(crate) fn caller(number: u32) -> id::Endpoint {
+    let ip = Ipv4Addr::from(0x0a00_0000 | number >> 8);
+    id::Endpoint(SocketAddr::new(ip.into(), 20_000 + (number & 0xff) as u16))
+}
+
+/// An entry of the platform.
+pub(crate) fn entry(key: String, revision: u64, value: &serde_json::Value) -> Entry {
+    Entry {
+        key,
+        value: Bytes::from(value.to_string()),
+        mod_revision: revision,
+    }
+}
+
+/// A document in its envelope.
+pub(crate) fn envelope(revision: u64, body: &serde_json::Value) -> serde_json::Value {
+    json!({"revision": revision, "operator": "bench", "write_id": "0123456789abcdef", "body": body})
+}
+
+/// A configuration with so many services, servers spread over them evenly.
+pub(crate) fn config(services: usize, servers: usize) -> Config {
+    let mut config = Config::default();
+    let profile = json!({"slow_start_s": 0, "queue_per_slot": 1_000, "max_per_caller": 100_000,
+        "max_in_progress": 1_000_000, "max_feeds": 1_000_000});
+    config.put(&entry(
+        "godwitreel/profiles/standard".to_owned(),
+        1,
+        &envelope(1, &profile),
+    ));
+    for number in 0..services {
+        let address = SocketAddr::new(Ipv4Addr::from(0x0b00_0000 | number as u32).into(), 5_683);
+        let body = json!({"profile": "standard", "address": address.to_string()});
+        let key = format!("godwitreel/services/service-{number}");
+        config.put(&entry(key, 2, &envelope(1, &body)));
+    }
+    for number in 0..servers {
+        config.put(&server_entry(number, services, 3));
+    }
+    let now = Instant::now();
+    for server in config.servers() {
+        server.confirm(now, LONG);
+    }
+    config
+}
+
+/// What the platform lists of a server.
+pub(crate) fn server_entry(number: usize, services: usize, revision: u64) -> Entry {
+    let ip = Ipv4Addr::from(0x0c00_0000 | number as u32);
+    let body = json!({
+        "service": format!("service-{}", number % services),
+        "zone": "bole",
+        "address": SocketAddr::new(ip.into(), 5_683).to_string(),
+        "health": SocketAddr::new(ip.into(), 8_080).to_string(),
+        "slots": 1_000,
+        "state": "up",
+    });
+    entry(format!("platform/servers/server-{number}"), revision, &body)
+}
+
+/// A table in which one instance is home and another backup of everything.
+pub(crate) fn table(slices: u32, epoch: u64, home: &str, backup: &str) -> Arc<Table> {
+    let mut table = Table::new(slices);
+    for slice in 0..slices {
+        let row = Row {
+            epoch: id::Epoch(epoch),
+            home: Some(holder(home)),
+            backup: Some(holder(backup)),
+            blank: false,
+        };
+        table.advance(id::Slice(slice), row);
+    }
+    Arc::new(table)
+}
+
+/// A view in which these instances live.
+pub(crate) fn view(now: Instant, instances: &[&str]) -> Arc<View> {
+    let mut view = View {
+        authority_until: Some(now + LONG),
+        ..View::default()
+    };
+    for (place, instance) in instances.iter().enumerate() {
+        let address = SocketAddr::new(Ipv4Addr::new(10, 9, 0, place as u8).into(), 7_000);
+        let member = Member {
+            holder: holder(instance),
+            zone: name("bole"),
+            address: id::Endpoint(address),
+            leaving: false,
+        };
+        view.live.insert(member.holder.clone());
+        view.known.insert(name(instance), member);
+    }
+    Arc::new(view)
+}
+
+/// The core of one worker, the only one of its instance.
+pub(crate) struct Core {
+    pub(crate) engine: Engine,
+    pub(crate) now: Instant,
+    service: id::Service,
+}
+
+/// An open request at a server: where it went and under which number.
+#[derive(Clone, Copy)]
+pub(crate) struct Sent {
+    pub(crate) to: id::Endpoint,
+    pub(crate) attempt: id::Attempt,
+}
+
+impl Core {
+    /// A core of the instance `a`; `home` and `backup` hold all slices.
+    pub(crate) fn new(home: &str, backup: &str, feeds: usize) -> Self {
+        let now = Instant::now();
+        let mut engine = Engine::new(Settings {
+            me: holder("a"),
+            zone: name("bole"),
+            worker: 0,
+            workers: 1,
+            hash_key: 7,
+            max_parked: 10_000,
+            max_flows: feeds.max(2_000_000),
+            seed: 1,
+        });
+        engine.handle(
+            now,
+            Event::Snapshot(Arc::new(config(1, SERVERS).snapshot())),
+        );
+        engine.handle(now, Event::Members(view(now, &["a", "b", "c"])));
+        engine.handle(now, Event::Table(table(SLICES, 1, home, backup)));
+        Self {
+            engine,
+            now,
+            service: name("service-0"),
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn advance(&mut self, by: Duration) {
+        self.now += by;
+        self.engine.handle(self.now, Event::Tick);
+    }
+
+    pub(crate) fn flow(&self, number: u32) -> Flow {
+        Flow {
+            service: self.service.clone(),
+            caller: caller(number),
+        }
+    }
+
+    /// A request event.
+    pub(crate) fn request(&self, number: u32, id: u128, kind: Kind) -> Event {
+        let datagram = match kind {
+            Kind::Once => POST,
+            Kind::Open => OBSERVE,
+            _ => GET,
+        };
+        Event::Request {
+            request: Request {
+                flow: self.flow(number),
+                id: Id(id << 72 | 4 << 64 | 0x0102_0304),
+                token: Token(4 << 64 | 0x0102_0304),
+                kind,
+                confirmable: true,
+                part: false,
+                datagram: Bytes::copy_from_slice(datagram),
+            },
+            hops: 0,
+        }
+    }
+
+    pub(crate) fn handle(&mut self, event: Event) -> Vec<Action> {
+        self.engine.handle(self.now, event)
+    }
+
+    /// Opens so many feeds, from the caller with the first number on.
+    pub(crate) fn open_feeds(&mut self, first: u32, count: u32) -> Vec<Sent> {
+        (first..first + count)
+            .map(|number| {
+                let opened = self.handle(self.request(number, 1, Kind::Open));
+                let sent = sent(&opened).expect("forwarded");
+                let done = self.handle(answer(sent, true));
+                self.acknowledge(&done);
+                sent
+            })
+            .collect()
+    }
+
+    /// Acknowledges what was replicated, as the backup `b`; returns what follows.
+    pub(crate) fn acknowledge(&mut self, actions: &[Action]) -> Vec<Action> {
+        let mut follow = Vec::new();
+        for event in receipts(actions) {
+            follow.extend(self.handle(event));
+        }
+        follow
+    }
+}
+
+/// Where the first forwarded request went.
+pub(crate) fn sent(actions: &[Action]) -> Option<Sent> {
+    actions.iter().find_map(|action| match action {
+        Action::Forward {
+            server, attempt, ..
+        } => Some(Sent {
+            to: server.address,
+            attempt: *attempt,
+        }),
+        _ => None,
+    })
+}
+
+/// The server's answer.
+pub(crate) fn answer(sent: Sent, feed: bool) -> Event {
+    Event::Answer {
+        from: sent.to,
+        attempt: sent.attempt,
+        answer: Answer {
+            verdict: Verdict::Handled,
+            feed,
+            more: false,
+            retry_after: None,
+            datagram: Bytes::copy_from_slice(NOTIFICATION),
+        },
+    }
+}
+
+/// The backup's acknowledgements of what was sent to it.
+pub(crate) fn receipts(actions: &[Action]) -> Vec<Event> {
+    let step = |action: &Action| match action {
+        Action::Peer {
+            to,
+            body: peer::Body::Replicate(step),
+        } => Some(Event::Peer {
+            from: to.clone(),
+            body: peer::Body::Replicated(peer::Replicated {
+                slice: step.slice,
+                epoch: step.epoch,
+                number: step.number,
+            }),
+        }),
+        _ => None,
+    };
+    actions.iter().filter_map(step).collect()
+}
+
+/// What a home sends its backup about the feed of a caller.
+pub(crate) fn feed_step(core: &Core, number: u32) -> peer::Replicate {
+    let flow = core.flow(number);
+    let slice = godwitreel::table::slice(SLICES, 7, &flow);
+    peer::Replicate {
+        slice: slice.0,
+        epoch: 1,
+        number: u64::from(number) + 1,
+        item: Some(peer::Item::Feed(peer::Feed {
+            flow: Some(peer::pack_flow(&flow)),
+            token: peer::pack_number(4 << 64 | 0x0102_0304),
+            server: format!("server-{}", number as usize % SERVERS),
+            datagram: Bytes::copy_from_slice(OBSERVE),
+            sequence: 1,
+        })),
+    }
+}
+
+/// What a home sends its backup about a non-idempotent request.
+pub(crate) fn claim_step(core: &Core, number: u32) -> peer::Replicate {
+    let flow = core.flow(number);
+    let slice = godwitreel::table::slice(SLICES, 7, &flow);
+    peer::Replicate {
+        slice: slice.0,
+        epoch: 1,
+        number: u64::from(number) + 1,
+        item: Some(peer::Item::Claim(peer::Claim {
+            flow: Some(peer::pack_flow(&flow)),
+            id: peer::pack_number(0x1234 << 72 | 4 << 64 | 0x0102_0304),
+        })),
+    }
+}
