--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -18,6 +18,7 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant as Clock;
 
@@ -31,6 +32,7 @@
 use godwitreel::peer;
 use godwitreel::peer::Body;
 use godwitreel::request::Kind;
+use godwitreel::snapshot::Snapshot;
 use godwitreel::table;
 use godwitreel::wire;
 use stats_alloc::INSTRUMENTED_SYSTEM;
@@ -72,19 +74,43 @@
 /// Sizes of the flow table.
 const FLOWS: [u32; 4] = [50_000, 100_000, 200_000, 300_000];
 
+/// New flows in a second of the core's time.
+const PER_SECOND: u32 = 5_000;
+
+/// Longer than any deadline, shorter than the silence of a feed.
+const REST: Duration = Duration::from_secs(30);
+
+/// A configuration under which nothing expires while the table is filled.
+fn patient() -> Arc<Snapshot> {
+    let mut config = fixture::config(1, fixture::SERVERS);
+    let body = serde_json::json!({"slow_start_s": 0, "queue_per_slot": 1_000,
+        "max_per_caller": 100_000, "max_in_progress": 1_000_000, "max_feeds": 1_000_000,
+        "feed_silence_s": 3_600, "copy_lifetime_s": 600});
+    let key = "godwitreel/profiles/standard".to_owned();
+    config.put(&fixture::entry(key, 9, &fixture::envelope(2, &body)));
+    Arc::new(config.snapshot())
+}
+
 fn memory() {
     let grown = |fill: &dyn Fn(&mut Core, u32)| -> Vec<(f64, f64)> {
         FLOWS
             .iter()
             .map(|count| {
                 let mut core = Core::new("a", "b", 0);
+                core.handle(Event::Snapshot(patient()));
                 let before = in_use();
                 fill(&mut core, *count);
                 (f64::from(*count), in_use() - before)
             })
             .collect()
     };
-    let feeds = grown(&|core, count| drop(core.open_feeds(0, count)));
+    let feeds = grown(&|core, count| {
+        for first in (0..count).step_by(PER_SECOND as usize) {
+            core.open_feeds(first, PER_SECOND);
+            core.advance(Duration::from_secs(1));
+        }
+        core.advance(REST);
+    });
     fit::report("feed at its home", "bytes by feeds", &feeds);
     let copies = grown(&|core, count| keep_copies(core, count, fixture::feed_step));
     fit::report("feed at its backup", "bytes by feeds", &copies);
@@ -130,6 +156,9 @@
 
 fn settle(core: &mut Core, count: u32) {
     for number in 0..count {
+        if number % PER_SECOND == 0 {
+            core.advance(Duration::from_secs(1));
+        }
         let claimed = core.handle(core.request(number, 1, Kind::Once));
         let forwarded = core.acknowledge(&claimed);
         let sent = fixture::sent(&forwarded).expect("forwarded");
