--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -190,16 +191,15 @@
 
     /// The configuration in force.
     pub fn snapshot(&self) -> Snapshot {
+        let mut listed = self.servers_by_service();
         let services = self.services.iter().filter_map(|(id, service)| {
             let profile = self.profiles.get(&service.body.profile)?;
-            let of_service = |server: &&Arc<Server>| server.service == *id;
-            let servers = self.servers.values().filter(of_service).map(Arc::clone);
             let view = Service {
                 id: id.clone(),
                 profile_id: service.body.profile.clone(),
                 revision: profile.revision,
                 profile: Arc::clone(&profile.body),
-                servers: servers.collect(),
+                servers: listed.remove(id).unwrap_or_default(),
             };
             Some((id.clone(), Arc::new(view)))
         });
@@ -208,6 +208,17 @@
         }
     }
 
+    /// The listed servers of each service, in order of their names. One pass over
+    /// all servers: a search for each service would multiply the two counts.
+    fn servers_by_service(&self) -> HashMap<&id::Service, Vec<Arc<Server>>> {
+        let mut listed: HashMap<&id::Service, Vec<Arc<Server>>> = HashMap::new();
+        for server in self.servers.values() {
+            let servers = listed.entry(&server.service).or_default();
+            servers.push(Arc::clone(server));
+        }
+        listed
+    }
+
     /// Addresses of the services.
     pub fn addresses(&self) -> BTreeMap<id::Service, id::Endpoint> {
         let service = |(id, service): (&id::Service, &InForce<document::Service>)| {
