Keep the digest of the configuration up to date change by change

Cause: each heartbeat sent and each taken hashed every key, so the control task's time grew with keys times peers. Ruled out: hashing only a changed prefix, which needs the same bookkeeping. Change: the digest is the sum of the entries' hashes. Instances of both versions side by side disagree and pull copies every two seconds until the rollout is over; nothing is lost by that.

--- a/src/config.rs
+++ b/src/config.rs
@@ -60,6 +60,8 @@
     servers: BTreeMap<id::Server, Arc<Server>>,
     drained: BTreeSet<String>,
     refused: BTreeMap<String, String>,
+    /// Sum of the entries' digests; it must follow every change of `entries`.
+    digest: u64,
 }
 
 impl Config {
@@ -69,14 +71,20 @@
         if known.is_some_and(|known| known.mod_revision >= entry.mod_revision) {
             return false;
         }
-        self.entries.insert(entry.key.clone(), entry.clone());
+        let replaced = self.entries.insert(entry.key.clone(), entry.clone());
+        if let Some(replaced) = replaced {
+            self.digest = self.digest.wrapping_sub(digest(&replaced));
+        }
+        self.digest = self.digest.wrapping_add(digest(entry));
         self.apply(&entry.key, &entry.value);
         true
     }
 
     /// Takes the removal of a key.
     pub fn remove(&mut self, key: &str) {
-        self.entries.remove(key);
+        if let Some(removed) = self.entries.remove(key) {
+            self.digest = self.digest.wrapping_sub(digest(&removed));
+        }
         self.refused.remove(key);
         if let Some(name) = key.strip_prefix(SERVERS)
             && let Ok(id) = name.parse::<id::Server>()
@@ -248,19 +256,29 @@
 
     /// Entries that peers give each other.
     pub fn shared(&self) -> impl Iterator<Item = &Entry> {
-        let shared = |entry: &&Entry| SHARED.iter().any(|prefix| entry.key.starts_with(prefix));
-        self.entries.values().filter(shared)
+        self.entries.values().filter(|entry| is_shared(entry))
     }
 
     /// Digest of what peers give each other: equal if all versions are.
     pub fn digest(&self) -> u64 {
-        let mut hasher = SipHasher13::new();
-        for entry in self.shared() {
-            entry.key.hash(&mut hasher);
-            entry.mod_revision.hash(&mut hasher);
-        }
-        hasher.finish()
+        self.digest
+    }
+}
+
+fn is_shared(entry: &Entry) -> bool {
+    SHARED.iter().any(|prefix| entry.key.starts_with(prefix))
+}
+
+/// An entry's part of the digest. The parts are added up, so that a change costs
+/// one hash however many entries there are.
+fn digest(entry: &Entry) -> u64 {
+    if !is_shared(entry) {
+        return 0;
     }
+    let mut hasher = SipHasher13::new();
+    entry.key.hash(&mut hasher);
+    entry.mod_revision.hash(&mut hasher);
+    hasher.finish()
 }
 
 fn text(error: crate::error::Error) -> String {
