Send the servers' loads in packed columns

Cause: a heartbeat spent 11.9 bytes on each server, half of them tags, and goes to every peer each second; with the 19 servers of a user and nine instances that is 8 x (87 + 19 x 11.9) = 2.5 KB a second, above the 2 KB wanted. Ruled out: telling only what changed, since the receiver could not tell a lost heartbeat from an unchanged load. Change: columns instead of a message a server; field 6 is retired.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -222,6 +222,14 @@
     fit::spread(&times).1
 }
 
+fn load(server: u32) -> peer::Load {
+    peer::Load {
+        server: server.wrapping_mul(0x9e37_79b9),
+        outstanding: 2,
+        feeds: 900,
+    }
+}
+
 fn heartbeat(number: usize, loads: usize) -> peer::Heartbeat {
     let ip = Ipv4Addr::from(0x0a09_0000 | number as u32);
     peer::Heartbeat {
@@ -229,13 +237,7 @@
         address: SocketAddr::new(ip.into(), 7_000).to_string(),
         leaving: false,
         digest: 0x0123_4567_89ab_cdef,
-        loads: (0..loads as u32)
-            .map(|server| peer::Load {
-                server: server.wrapping_mul(0x9e37_79b9),
-                outstanding: 2,
-                feeds: 900,
-            })
-            .collect(),
+        loads: Some((0..loads as u32).map(load).collect()),
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -165,19 +165,56 @@
 }
 
 /// A server's load as one instance sees it.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
     /// Hash of the server's name.
-    #[prost(fixed32, tag = "1")]
     pub server: u32,
     /// Requests in progress.
-    #[prost(uint32, tag = "2")]
     pub outstanding: u32,
     /// Feeds open.
-    #[prost(uint32, tag = "3")]
     pub feeds: u32,
 }
 
+/// Loads of several servers, as packed columns: a message for each server would
+/// spend as many bytes on tags as on figures, in every heartbeat.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loads {
+    /// Hashes of the servers' names.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub servers: Vec<u32>,
+    /// Requests in progress, server by server.
+    #[prost(uint32, repeated, tag = "2")]
+    pub outstanding: Vec<u32>,
+    /// Feeds open, server by server.
+    #[prost(uint32, repeated, tag = "3")]
+    pub feeds: Vec<u32>,
+}
+
+impl Loads {
+    /// The loads one by one.
+    pub fn iter(&self) -> impl Iterator<Item = Load> {
+        let figures = self.outstanding.iter().zip(&self.feeds);
+        let rows = self.servers.iter().zip(figures);
+        rows.map(|(server, (outstanding, feeds))| Load {
+            server: *server,
+            outstanding: *outstanding,
+            feeds: *feeds,
+        })
+    }
+}
+
+impl FromIterator<Load> for Loads {
+    fn from_iter<I: IntoIterator<Item = Load>>(loads: I) -> Self {
+        let mut columns = Self::default();
+        for load in loads {
+            columns.servers.push(load.server);
+            columns.outstanding.push(load.outstanding);
+            columns.feeds.push(load.feeds);
+        }
+        columns
+    }
+}
+
 /// Sign of life.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -193,9 +230,9 @@
     /// Digest of the configuration revisions that the sender has in force.
     #[prost(fixed64, tag = "4")]
     pub digest: u64,
-    /// Loads that changed.
-    #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<Load>,
+    /// Loads of the servers in use.
+    #[prost(message, optional, tag = "7")]
+    pub loads: Option<Loads>,
 }
 
 /// Asks a backup to become home of slices that the sender is home of.
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -76,7 +76,7 @@
     told: UnboundedSender<Told>,
     registration: watch::Sender<Registration>,
     stopping: watch::Receiver<bool>,
-    loads: HashMap<id::Instance, Vec<peer::Load>>,
+    loads: HashMap<id::Instance, peer::Loads>,
     differs: BTreeMap<id::Instance, Instant>,
     pulled: Option<Instant>,
     changed: bool,
@@ -204,7 +204,8 @@
             }
         }
         self.compare(now, from, &message);
-        self.loads.insert(from.instance.clone(), message.loads);
+        let loads = message.loads.unwrap_or_default();
+        self.loads.insert(from.instance.clone(), loads);
         self.spread_loads(now);
     }
 
@@ -262,7 +263,7 @@
         drop(control);
         let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
         let heard = self.loads.iter().filter(|(peer, _)| live.contains(*peer));
-        for load in heard.flat_map(|(_, loads)| loads) {
+        for load in heard.flat_map(|(_, loads)| loads.iter()) {
             let sum = sums.entry(load.server).or_default();
             sum.0 += load.outstanding;
             sum.1 += load.feeds;
@@ -290,7 +291,7 @@
             address: self.shared.settings.advertised().to_string(),
             leaving: self.shared.control().is_leaving(),
             digest: config.digest(),
-            loads: loads.take(MAX_LOADS).collect(),
+            loads: Some(loads.take(MAX_LOADS).collect()),
         })
     }
 
