Add the peers' loads up once a look instead of once a heartbeat

Cause: each heartbeat taken listed all live peers and added all loads up again, so the control task's time grew with the square of the peers: 494 us a heartbeat at 1,100 peers (slopes core), 1,100 heartbeats a second. Change: it is done at the planner's next look, ten times a second at most. A load arrives up to 100 ms later, a tenth of the time between two heartbeats.

--- a/src/steer.rs
+++ b/src/steer.rs
@@ -80,6 +80,7 @@
     differs: BTreeMap<id::Instance, Instant>,
     pulled: Option<Instant>,
     changed: bool,
+    loads_changed: bool,
 }
 
 impl Steer {
@@ -100,6 +101,7 @@
             differs: BTreeMap::new(),
             pulled: None,
             changed: true,
+            loads_changed: false,
         }
     }
 
@@ -206,7 +208,7 @@
         self.compare(now, from, &message);
         let loads = message.loads.unwrap_or_default();
         self.loads.insert(from.instance.clone(), loads);
-        self.spread_loads(now);
+        self.loads_changed = true;
     }
 
     /// Asks a peer for copies if it has had something else for a while.
@@ -327,6 +329,11 @@
             self.changed = false;
             self.spread_config();
         }
+        // Once a look and not once a heartbeat: adding up goes over all peers, and
+        // each of them sends heartbeats.
+        if std::mem::take(&mut self.loads_changed) {
+            self.spread_loads(now);
+        }
         let commands = self.shared.control().tick(now);
         for command in commands {
             self.carry_out(command);
