Keep the rarely used parts of a feed out of line

Ruled out for now: one shared key for table, sendings and timers, which touches every call in the engine. Change: the datagram is a plain copy, the renewal is boxed.

--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -109,7 +109,7 @@
         let sequence = earlier.map_or(1, |feed| feed.sequence + 1) & SEQUENCE_MASK;
         self.insert_sending(now, slice, &key, attempt, &server);
         let feed = Feed {
-            datagram,
+            datagram: datagram.as_ref().into(),
             server: server.id.clone(),
             attempt: Some(attempt),
             renewal: None,
@@ -400,7 +400,8 @@
         let Some(feed) = self.feed(slice, key) else {
             return;
         };
-        let (datagram, failed) = (feed.datagram.clone(), feed.failed.clone());
+        let datagram = Bytes::copy_from_slice(&feed.datagram);
+        let failed = feed.failed.clone();
         let own = feed.server.clone();
         let Some(server) = self.feed_server(now, &service, &key.flow, &own, &failed) else {
             self.unplaced(now, slice, key, &service);
@@ -409,11 +410,11 @@
         let attempt = self.new_attempt();
         self.insert_sending(now, slice, key, attempt, &server);
         if let Some(feed) = self.feed(slice, key) {
-            feed.renewal = Some(Renewal {
+            feed.renewal = Some(Box::new(Renewal {
                 attempt,
                 server: server.id.clone(),
                 since: now,
-            });
+            }));
         }
         let timeout = service.profile.attempt_timeout();
         self.look_at(now + timeout, slice, key);
@@ -648,7 +649,7 @@
         flow: Some(peer::pack_flow(&key.flow)),
         token: peer::pack_number(key.token.0),
         server: feed.server.as_str().to_owned(),
-        datagram: feed.datagram.clone(),
+        datagram: Bytes::copy_from_slice(&feed.datagram),
         sequence: feed.sequence,
     }
 }
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -535,7 +535,7 @@
         token: Token(peer::unpack_number(&feed.token)?),
     };
     let feed = Feed {
-        datagram: feed.datagram,
+        datagram: feed.datagram.as_ref().into(),
         server: feed.server.parse()?,
         attempt: None,
         renewal: None,
--- a/src/record.rs
+++ b/src/record.rs
@@ -106,11 +106,13 @@
 /// One feed.
 #[derive(Clone, Debug)]
 pub(crate) struct Feed {
-    pub(crate) datagram: Bytes,
+    /// The caller's registration, on its own: a share of the received buffer would
+    /// keep more than its bytes for as long as the feed lives.
+    pub(crate) datagram: Box<[u8]>,
     pub(crate) server: id::Server,
     /// The registration in use; none while this instance only keeps a copy.
     pub(crate) attempt: Option<id::Attempt>,
-    pub(crate) renewal: Option<Renewal>,
+    pub(crate) renewal: Option<Box<Renewal>>,
     /// Servers that failed to take the feed since it was last heard.
     pub(crate) failed: Vec<id::Server>,
     pub(crate) sequence: u32,
