--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -45,12 +45,15 @@
 }
 
 impl Engine {
-    pub(super) fn request(&mut self, now: Instant, request: Request, hops: u32) {
+    pub(super) fn request(&mut self, now: Instant, mut request: Request, hops: u32) {
         let known = self.snapshot.services.get(&request.flow.service);
         let Some(service) = known.map(Arc::clone) else {
             self.note(Reason::UnknownService);
             return;
         };
+        // A relayed datagram brings a copy of the name, which would be kept as
+        // long as the flow.
+        request.flow.service = service.id.clone();
         let slice = self.slice_of(&request.flow);
         match self.route(slice, request.kind) {
             Route::Here => self.serve(now, slice, &service, request),
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -35,6 +35,7 @@
 use crate::record::Replica;
 use crate::record::Role;
 use crate::record::Slice;
+use crate::request::Flow;
 use crate::request::Key;
 use crate::request::Outcome;
 use crate::request::Request;
@@ -252,11 +253,14 @@
         state.seen = state.seen.max(epoch);
         match message.item {
             Some(peer::Item::Claim(claim)) => {
-                let key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
+                let mut key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
+                self.share_name(&mut key.flow);
                 self.keep_claim(now, slice, key);
             }
             Some(peer::Item::Feed(feed)) => {
-                let (key, feed) = unpack_feed(now, message.number, feed)?;
+                let (mut key, mut feed) = unpack_feed(now, message.number, feed)?;
+                self.share_name(&mut key.flow);
+                self.share_server(&key.flow, &mut feed.server);
                 self.remove_feed(slice, &key);
                 self.insert_feed(slice, key, feed);
             }
@@ -279,6 +283,22 @@
         Ok(())
     }
 
+    /// Takes the configuration's own copy of a service's name: hundreds of
+    /// thousands of copies that came in messages would take memory for nothing.
+    fn share_name(&self, flow: &mut Flow) {
+        if let Some(service) = self.snapshot.services.get(&flow.service) {
+            flow.service = service.id.clone();
+        }
+    }
+
+    /// The same for a server's name.
+    fn share_server(&self, flow: &Flow, name: &mut id::Server) {
+        let service = self.snapshot.services.get(&flow.service);
+        if let Some(server) = service.and_then(|service| service.server(name)) {
+            *name = server.id.clone();
+        }
+    }
+
     /// Whether a claim of this sender may still be acknowledged.
     fn accepts(&self, slice: id::Slice, from: &id::Holder, epoch: id::Epoch) -> bool {
         let row = self.table.row(slice);
