--- a/examples/relay.rs
+++ b/examples/relay.rs
@@ -4,10 +4,11 @@
 //!     cargo run --release --example relay -- load
 //!     cargo run --release --example relay -- change
 //!     cargo run --release --example relay -- idle
+//!     cargo run --release --example relay -- feeds
 //!
 //! `load` sends 5,000 new flows a second, four requests each, to one of three
 //! instances; every fourth request is non-idempotent. `change` and `idle` watch
-//! nine instances.
+//! nine instances; so does `feeds`, with feeds open at every server of a user.
 
 #[path = "utils/fit.rs"]
 mod fit;
@@ -47,6 +48,12 @@
 /// Servers behind the instances.
 const SERVERS: usize = 15;
 
+/// Servers of one user, all services together.
+const ALL_SERVERS: usize = 19;
+
+/// Feeds opened at each instance, enough that each has some at every server.
+const FEEDS: u32 = 200;
+
 /// Time after which a request counts as unanswered.
 const GIVE_UP: Duration = Duration::from_secs(2);
 
@@ -54,8 +61,9 @@
     match std::env::args().nth(1).as_deref() {
         Some("load") => fleet::run(load()),
         Some("change") => fleet::run(change()),
-        Some("idle") => fleet::run(idle()),
-        _ => println!("usage: relay load|change|idle"),
+        Some("idle") => fleet::run(idle(SERVERS, 0)),
+        Some("feeds") => fleet::run(idle(ALL_SERVERS, FEEDS)),
+        _ => println!("usage: relay load|change|idle|feeds"),
     }
 }
 
@@ -224,6 +232,20 @@
     }
 }
 
+/// Opens a feed; the socket keeps its caller's address.
+async fn open_feed(to: SocketAddr, token: u32) -> Option<UdpSocket> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.ok()?;
+    let token = token.to_be_bytes();
+    let mut datagram = vec![0x44, 1, token[2], token[3]];
+    datagram.extend_from_slice(&token);
+    datagram.extend_from_slice(b"\x60\x55route");
+    socket.send_to(&datagram, to).await.ok()?;
+    let mut buffer = [0; 2_048];
+    let received = timeout(GIVE_UP, socket.recv_from(&mut buffer)).await;
+    received.ok()?.ok()?;
+    Some(socket)
+}
+
 async fn change() {
     let fleet = Fleet::start(9, 1_024, SERVERS).await;
     let mut times = Vec::new();
@@ -250,8 +272,18 @@
     println!("{}: revision {revision} was not in force", daemon.name);
 }
 
-async fn idle() {
-    let fleet = Fleet::start(9, 1_024, SERVERS).await;
+async fn idle(servers: usize, feeds: u32) {
+    let fleet = Fleet::start(9, 1_024, servers).await;
+    let mut callers = Vec::new();
+    for (place, daemon) in fleet.daemons.iter().enumerate() {
+        for number in 0..feeds {
+            let token = (place as u32) << 16 | number;
+            callers.extend(open_feed(daemon.listener, token).await);
+        }
+    }
+    println!("feeds opened: {}", callers.len());
+    // A heartbeat after the last one opened has told the loads.
+    sleep(Duration::from_secs(2)).await;
     let mut spent = Vec::new();
     for _ in 0..RUNS {
         spent.push(fleet.calm(Duration::from_secs(6)).await);
--- a/examples/utils/fleet.rs
+++ b/examples/utils/fleet.rs
@@ -14,6 +14,7 @@
 use axum::routing::get;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use coap_lite::Packet;
 use godwitreel::status::Status;
 use godwitreel::table;
 use nix::sys::signal::Signal;
@@ -100,7 +101,8 @@
     }
 }
 
-/// Answers every request at once: 2.05 with the acknowledgement.
+/// Answers every request at once: 2.05 with the acknowledgement. Feeds stay open
+/// and silent.
 async fn serve(socket: UdpSocket) {
     const TOKEN: std::ops::Range<usize> = 4..12;
     let mut buffer = [0; 2_048];
@@ -110,6 +112,10 @@
         }
         let mut answer = vec![0x68, 0x45, buffer[2], buffer[3]];
         answer.extend_from_slice(&buffer[TOKEN]);
+        let packet = Packet::from_bytes(&buffer[..length]);
+        if packet.is_ok_and(|packet| packet.get_observe_value().is_some()) {
+            answer.extend_from_slice(b"\x61\x01");
+        }
         answer.extend_from_slice(b"\xffdone");
         let _ = socket.send_to(&answer, from).await;
     }
@@ -170,7 +176,8 @@
 
     /// Writes a revision of the profile that the service has chosen.
     pub(crate) fn change_profile(&self, revision: u64) {
-        let body = json!({"slow_start_s": 0, "queue_per_slot": 100, "max_in_progress": 100_000});
+        let body = json!({"slow_start_s": 0, "queue_per_slot": 100, "max_in_progress": 100_000,
+            "feed_silence_s": 3_600});
         let key = "godwitreel/profiles/standard";
         self.platform.put(key, document(revision, &body));
     }
