--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -59,6 +60,8 @@
     servers: BTreeMap<id::Server, Arc<Server>>,
     drained: BTreeSet<String>,
     refused: BTreeMap<String, String>,
+    /// Sum of the entries' digests; it must follow every change of `entries`.
+    digest: u64,
 }
 
 impl Config {
@@ -68,14 +71,20 @@
         if known.is_some_and(|known| known.mod_revision >= entry.mod_revision) {
             return false;
         }
-        self.entries.insert(entry.key.clone(), entry.clone());
+        let replaced = self.entries.insert(entry.key.clone(), entry.clone());
+        if let Some(replaced) = replaced {
+            self.digest = self.digest.wrapping_sub(digest(&replaced));
+        }
+        self.digest = self.digest.wrapping_add(digest(entry));
         self.apply(&entry.key, &entry.value);
         true
     }
 
     /// Takes the removal of a key.
     pub fn remove(&mut self, key: &str) {
-        self.entries.remove(key);
+        if let Some(removed) = self.entries.remove(key) {
+            self.digest = self.digest.wrapping_sub(digest(&removed));
+        }
         self.refused.remove(key);
         if let Some(name) = key.strip_prefix(SERVERS)
             && let Ok(id) = name.parse::<id::Server>()
@@ -190,16 +199,15 @@
 
     /// The configuration in force.
     pub fn snapshot(&self) -> Snapshot {
+        let mut listed = self.servers_by_service();
         let services = self.services.iter().filter_map(|(id, service)| {
             let profile = self.profiles.get(&service.body.profile)?;
-            let of_service = |server: &&Arc<Server>| server.service == *id;
-            let servers = self.servers.values().filter(of_service).map(Arc::clone);
             let view = Service {
                 id: id.clone(),
                 profile_id: service.body.profile.clone(),
                 revision: profile.revision,
                 profile: Arc::clone(&profile.body),
-                servers: servers.collect(),
+                servers: listed.remove(id).unwrap_or_default(),
             };
             Some((id.clone(), Arc::new(view)))
         });
@@ -208,6 +216,17 @@
         }
     }
 
+    /// The listed servers of each service, in order of their names. One pass over
+    /// all servers: a search for each service would multiply the two counts.
+    fn servers_by_service(&self) -> HashMap<&id::Service, Vec<Arc<Server>>> {
+        let mut listed: HashMap<&id::Service, Vec<Arc<Server>>> = HashMap::new();
+        for server in self.servers.values() {
+            let servers = listed.entry(&server.service).or_default();
+            servers.push(Arc::clone(server));
+        }
+        listed
+    }
+
     /// Addresses of the services.
     pub fn addresses(&self) -> BTreeMap<id::Service, id::Endpoint> {
         let service = |(id, service): (&id::Service, &InForce<document::Service>)| {
@@ -237,19 +256,29 @@
 
     /// Entries that peers give each other.
     pub fn shared(&self) -> impl Iterator<Item = &Entry> {
-        let shared = |entry: &&Entry| SHARED.iter().any(|prefix| entry.key.starts_with(prefix));
-        self.entries.values().filter(shared)
+        self.entries.values().filter(|entry| is_shared(entry))
     }
 
     /// Digest of what peers give each other: equal if all versions are.
     pub fn digest(&self) -> u64 {
-        let mut hasher = SipHasher13::new();
-        for entry in self.shared() {
-            entry.key.hash(&mut hasher);
-            entry.mod_revision.hash(&mut hasher);
-        }
-        hasher.finish()
+        self.digest
+    }
+}
+
+fn is_shared(entry: &Entry) -> bool {
+    SHARED.iter().any(|prefix| entry.key.starts_with(prefix))
+}
+
+/// An entry's part of the digest. The parts are added up, so that a change costs
+/// one hash however many entries there are.
+fn digest(entry: &Entry) -> u64 {
+    if !is_shared(entry) {
+        return 0;
     }
+    let mut hasher = SipHasher13::new();
+    entry.key.hash(&mut hasher);
+    entry.mod_revision.hash(&mut hasher);
+    hasher.finish()
 }
 
 fn text(error: crate::error::Error) -> String {
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -62,14 +62,17 @@
     }
 
     /// Brings a request to whoever decides for it now.
-    pub(super) fn settle_route(&mut self, now: Instant, arrival: Arrival) {
-        let flow = &arrival.request.flow;
+    pub(super) fn settle_route(&mut self, now: Instant, mut arrival: Arrival) {
+        let flow = &mut arrival.request.flow;
         let known = self.snapshot.services.get(&flow.service);
         let Some(service) = known.map(Arc::clone) else {
             self.note(Reason::UnknownService);
             return;
         };
-        let slice = self.slice_of(flow);
+        // A relayed datagram brings a copy of the name, which would be kept as
+        // long as the flow.
+        flow.service = service.id.clone();
+        let slice = self.slice_of(&arrival.request.flow);
         match self.route(slice, arrival.request.kind) {
             Route::Here => self.serve(now, slice, &service, arrival),
             // Two tables that are late name each other for a moment. A request
--- a/src/link.rs
+++ b/src/link.rs
@@ -145,7 +145,7 @@
     /// loads that are a second older only make its choices a little worse.
     fn seal_heartbeat(&self, address: SocketAddr, to: &str, message: Heartbeat) -> Vec<u8> {
         let bare = Heartbeat {
-            loads: Vec::new(),
+            loads: None,
             trimmed: true,
             ..message.clone()
         };
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -77,10 +77,11 @@
     told: UnboundedSender<Told>,
     registration: watch::Sender<Registration>,
     stopping: watch::Receiver<bool>,
-    loads: HashMap<id::Instance, Vec<peer::Load>>,
+    loads: HashMap<id::Instance, peer::Loads>,
     differs: BTreeMap<id::Instance, Instant>,
     pulled: Option<Instant>,
     changed: bool,
+    loads_changed: bool,
 }
 
 impl Steer {
@@ -101,6 +102,7 @@
             differs: BTreeMap::new(),
             pulled: None,
             changed: true,
+            loads_changed: false,
         }
     }
 
@@ -206,9 +208,10 @@
         }
         self.compare(now, from, &message);
         if !message.trimmed {
-            self.loads.insert(from.instance.clone(), message.loads);
+            let loads = message.loads.unwrap_or_default();
+            self.loads.insert(from.instance.clone(), loads);
+            self.loads_changed = true;
         }
-        self.spread_loads(now);
     }
 
     /// Asks a peer for copies if it has had something else for a while.
@@ -269,7 +272,7 @@
         drop(control);
         let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
         let heard = self.loads.iter().filter(|(peer, _)| live.contains(*peer));
-        for load in heard.flat_map(|(_, loads)| loads) {
+        for load in heard.flat_map(|(_, loads)| loads.iter()) {
             let sum = sums.entry(load.server).or_default();
             sum.0 += load.outstanding;
             sum.1 += load.feeds;
@@ -297,7 +300,7 @@
             address: self.shared.settings.advertised().to_string(),
             leaving: self.shared.control().is_leaving(),
             digest: config.digest(),
-            loads: loads.take(MAX_LOADS).collect(),
+            loads: Some(loads.take(MAX_LOADS).collect()),
             trimmed: false,
         })
     }
@@ -334,6 +337,11 @@
             self.changed = false;
             self.spread_config();
         }
+        // Once a look and not once a heartbeat: adding up goes over all peers, and
+        // each of them sends heartbeats.
+        if std::mem::take(&mut self.loads_changed) {
+            self.spread_loads(now);
+        }
         let commands = self.shared.control().tick(now);
         for command in commands {
             self.carry_out(command);
--- a/tests/history/fleet.rs
+++ b/tests/history/fleet.rs
@@ -807,7 +807,7 @@
             address: lab::endpoint(4, place as u16).to_string(),
             leaving: node.leaving_since.is_some(),
             digest: 0,
-            loads: Vec::new(),
+            loads: None,
             trimmed: false,
         });
         let peers = node.control.peers();
