--- /dev/null
+++ b/examples/policy/world.rs
@@ -0,0 +1,1062 @@
+//! Real engines as homes, model backend servers, and a virtual clock.
+//!
+//! Nothing here decides anything: messages are carried with their one-way times,
+//! servers have slots and a queue, callers repeat and come back as CoAP asks.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitreel::action::Action;
+use godwitreel::document::Profile;
+use godwitreel::document::State;
+use godwitreel::engine::Engine;
+use godwitreel::engine::Settings;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::member::View;
+use godwitreel::peer::Body;
+use godwitreel::request::Answer;
+use godwitreel::request::Flow;
+use godwitreel::request::Id;
+use godwitreel::request::Kind;
+use godwitreel::request::Outcome;
+use godwitreel::request::Receipt;
+use godwitreel::request::Request;
+use godwitreel::request::Token;
+use godwitreel::request::Verdict;
+use godwitreel::server::Server;
+use godwitreel::snapshot::Service;
+use godwitreel::snapshot::Snapshot;
+use godwitreel::table::Row;
+use godwitreel::table::Table;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::measure::Measure;
+
+const SLICES: u32 = 256;
+const TICK: Duration = Duration::from_millis(10);
+const PROBE_EVERY: Duration = Duration::from_millis(500);
+const CONFIRM_FOR: Duration = Duration::from_millis(1_500);
+const BEAT_EVERY: Duration = Duration::from_secs(1);
+const SAMPLE_EVERY: Duration = Duration::from_millis(50);
+const FIRST_REPEAT: Duration = Duration::from_secs(2);
+const MAX_REPEATS: u32 = 4;
+const FEED_WORK: f64 = 0.001;
+
+/// Something that goes wrong, or right again, at a time.
+pub(crate) type Fault = (f64, Rc<dyn Fn(&mut World)>);
+
+/// How a server looks when it is not told what to look like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Health {
+    Up,
+    Draining,
+    Silent,
+    Foreign,
+}
+
+/// What peers tell of their own counts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Gossip {
+    Off,
+    /// Each second, heard after a lag; the first home tells counts times a factor.
+    On {
+        lag: f64,
+        lie: f64,
+    },
+}
+
+/// One run.
+#[derive(Clone)]
+pub(crate) struct Plan {
+    pub(crate) homes: usize,
+    pub(crate) zones: &'static [&'static str],
+    pub(crate) servers: usize,
+    pub(crate) slots: u32,
+    pub(crate) hop: f64,
+    pub(crate) caller_hop: f64,
+    pub(crate) profile: Profile,
+    /// Requests a second, by time.
+    pub(crate) rate: Rc<dyn Fn(f64) -> f64>,
+    /// Share of non-idempotent requests.
+    pub(crate) once: f64,
+    pub(crate) feeds: usize,
+    pub(crate) notify_every: f64,
+    /// Mean time of a request at a server.
+    pub(crate) service: f64,
+    pub(crate) length: f64,
+    /// When measuring begins.
+    pub(crate) from: f64,
+    pub(crate) gossip: Gossip,
+    pub(crate) backup: bool,
+    /// Requests in a server's queue at which it sheds load.
+    pub(crate) shed: usize,
+    /// Times that a refused or late caller comes back by itself.
+    pub(crate) comebacks: u32,
+    /// Whether a caller that comes back heeds the time it was told.
+    pub(crate) heeds: bool,
+    /// Whether servers drop requests whose deadline has passed.
+    pub(crate) honours_deadline: bool,
+    pub(crate) faults: Vec<Fault>,
+}
+
+struct Job {
+    home: usize,
+    attempt: id::Attempt,
+    number: u64,
+    deadline: f64,
+}
+
+/// A model of a backend server.
+pub(crate) struct Model {
+    pub(crate) up: bool,
+    pub(crate) health: Health,
+    /// Whether the address runs the listed service.
+    pub(crate) ours: bool,
+    pub(crate) slow: f64,
+    /// When it started cold.
+    pub(crate) cold_since: Option<f64>,
+    life: u32,
+    busy: usize,
+    queue: std::collections::VecDeque<Job>,
+    feeds: HashMap<(usize, id::Attempt), u64>,
+}
+
+impl Model {
+    pub(crate) fn outstanding(&self) -> usize {
+        self.busy + self.queue.len()
+    }
+
+    pub(crate) fn feeds(&self) -> usize {
+        self.feeds.len()
+    }
+
+    /// Loses everything.
+    pub(crate) fn stop(&mut self) {
+        self.up = false;
+        self.health = Health::Silent;
+        self.life += 1;
+        self.busy = 0;
+        self.queue.clear();
+        self.feeds.clear();
+    }
+
+    pub(crate) fn start(&mut self, now: f64) {
+        self.up = true;
+        self.health = Health::Up;
+        self.cold_since = Some(now);
+    }
+}
+
+/// One entry instance.
+pub(crate) struct Home {
+    engine: Engine,
+    holder: id::Holder,
+    zone: usize,
+    pub(crate) servers: Vec<Arc<Server>>,
+    pub(crate) alive: bool,
+    loads: HashMap<usize, Vec<(u32, u32)>>,
+}
+
+/// A request as its caller sees it.
+struct Call {
+    caller: u64,
+    kind: Kind,
+    /// When the caller first wanted it.
+    wanted: f64,
+    runs: u32,
+    done: bool,
+    told: bool,
+    refused: bool,
+    repeats: u32,
+    comebacks: u32,
+}
+
+struct Watcher {
+    seen: f64,
+    gap: f64,
+    open: bool,
+}
+
+enum What {
+    Arrival,
+    ToHome {
+        home: usize,
+        number: u64,
+        hops: u32,
+    },
+    Peer {
+        to: usize,
+        from: usize,
+        body: Body,
+    },
+    ToServer {
+        server: usize,
+        job: Job,
+    },
+    Done {
+        server: usize,
+        life: u32,
+        job: Job,
+    },
+    FromServer {
+        home: usize,
+        server: usize,
+        attempt: id::Attempt,
+        answer: Answer,
+    },
+    Notify {
+        server: usize,
+        life: u32,
+        home: usize,
+        attempt: id::Attempt,
+    },
+    Receipt {
+        home: usize,
+        flow: Flow,
+        message: u16,
+    },
+    Repeat(u64),
+    Return {
+        caller: u64,
+        kind: Kind,
+        wanted: f64,
+        comebacks: u32,
+    },
+    Tick,
+    Probe,
+    Beat(usize),
+    Loads {
+        from: usize,
+        loads: Vec<(u32, u32)>,
+    },
+    Sample,
+    Fault(usize),
+}
+
+struct Due {
+    at: f64,
+    order: u64,
+    what: What,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at
+            .total_cmp(&other.at)
+            .then(self.order.cmp(&other.order))
+    }
+}
+
+/// Everything of one run.
+pub(crate) struct World {
+    plan: Plan,
+    start: Instant,
+    pub(crate) now: f64,
+    order: u64,
+    due: BinaryHeap<Reverse<Due>>,
+    pub(crate) homes: Vec<Home>,
+    pub(crate) models: Vec<Model>,
+    table: Table,
+    calls: HashMap<u64, Call>,
+    watchers: HashMap<u64, Watcher>,
+    next: u64,
+    rng: SmallRng,
+    measure: Measure,
+}
+
+fn service() -> id::Service {
+    "dispatch".parse().expect("a name")
+}
+
+fn endpoint(net: u8, number: u64) -> id::Endpoint {
+    let [.., a, b, c] = number.to_be_bytes();
+    id::Endpoint((Ipv4Addr::new(net, a, b, c), 5683).into())
+}
+
+fn server_zone(plan: &Plan, server: usize) -> usize {
+    server % plan.zones.len()
+}
+
+fn view(holders: &[id::Holder], alive: &dyn Fn(usize) -> bool, until: Instant) -> View {
+    let live = holders.iter().enumerate().filter(|(home, _)| alive(*home));
+    View {
+        live: live
+            .map(|(_, holder)| holder.clone())
+            .collect::<HashSet<_>>(),
+        known: Default::default(),
+        authority_until: Some(until),
+    }
+}
+
+impl World {
+    /// A deployment at rest.
+    pub(crate) fn new(plan: Plan, seed: u64) -> Self {
+        let start = Instant::now();
+        let models = (0..plan.servers).map(|_| Model {
+            up: true,
+            health: Health::Up,
+            ours: true,
+            slow: 1.0,
+            cold_since: None,
+            life: 0,
+            busy: 0,
+            queue: Default::default(),
+            feeds: HashMap::new(),
+        });
+        let mut world = Self {
+            start,
+            now: 0.0,
+            order: 0,
+            due: BinaryHeap::new(),
+            homes: (0..plan.homes)
+                .map(|home| new_home(&plan, home, seed))
+                .collect(),
+            models: models.collect(),
+            table: Table::new(SLICES),
+            calls: HashMap::new(),
+            watchers: HashMap::new(),
+            next: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            measure: Measure::new(plan.slots as usize),
+            plan,
+        };
+        world.assign();
+        world.begin();
+        world
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + Duration::from_secs_f64(self.now)
+    }
+
+    fn assign(&mut self) {
+        let homes = self.plan.homes;
+        for slice in 0..SLICES {
+            let home = slice as usize % homes;
+            // Neighbours stand in different zones.
+            let backup = (home + 1 + (slice as usize / homes) % (homes - 1)) % homes;
+            let row = Row {
+                epoch: id::Epoch(1),
+                home: Some(self.homes[home].holder.clone()),
+                backup: self.plan.backup.then(|| self.homes[backup].holder.clone()),
+                blank: false,
+            };
+            self.table.advance(id::Slice(slice), row);
+        }
+        self.tell_table();
+        self.tell_view();
+    }
+
+    fn tell_table(&mut self) {
+        let table = Arc::new(self.table.clone());
+        for home in 0..self.homes.len() {
+            self.feed(home, Event::Table(Arc::clone(&table)));
+        }
+    }
+
+    pub(crate) fn tell_view(&mut self) {
+        let holders: Vec<_> = self.homes.iter().map(|home| home.holder.clone()).collect();
+        let alive: Vec<bool> = self.homes.iter().map(|home| home.alive).collect();
+        let until = self.start + Duration::from_secs(100_000);
+        let view = Arc::new(view(&holders, &|home| alive[home], until));
+        for home in 0..self.homes.len() {
+            self.feed(home, Event::Members(Arc::clone(&view)));
+        }
+    }
+
+    fn begin(&mut self) {
+        self.at(0.0, What::Probe);
+        self.at(0.001, What::Tick);
+        self.at(0.1, What::Arrival);
+        self.at(self.plan.from, What::Sample);
+        for home in 0..self.homes.len() {
+            let share = home as f64 / self.homes.len() as f64;
+            self.at(0.2 + share * BEAT_EVERY.as_secs_f64(), What::Beat(home));
+        }
+        for fault in 0..self.plan.faults.len() {
+            self.at(self.plan.faults[fault].0, What::Fault(fault));
+        }
+        for feed in 0..self.plan.feeds {
+            let at = 0.2 + 3.0 * feed as f64 / self.plan.feeds as f64;
+            let what = What::Return {
+                caller: feed as u64,
+                kind: Kind::Open,
+                wanted: at,
+                comebacks: 0,
+            };
+            self.at(at, what);
+        }
+    }
+
+    fn at(&mut self, at: f64, what: What) {
+        self.order += 1;
+        let order = self.order;
+        self.due.push(Reverse(Due { at, order, what }));
+    }
+
+    fn after(&mut self, wait: f64, what: What) {
+        self.at(self.now + wait, what);
+    }
+
+    /// Runs to the end and returns the figures.
+    pub(crate) fn run(mut self) -> Measure {
+        while let Some(Reverse(due)) = self.due.pop() {
+            if due.at > self.plan.length {
+                break;
+            }
+            self.now = due.at;
+            self.step(due.what);
+        }
+        self.finish()
+    }
+
+    fn step(&mut self, what: What) {
+        match what {
+            What::Arrival => self.arrival(),
+            What::ToHome { home, number, hops } => self.to_home(home, number, hops),
+            What::Peer { to, from, body } => {
+                let from = self.homes[from].holder.clone();
+                self.peer(to, from, body);
+            }
+            What::ToServer { server, job } => self.to_server(server, job),
+            What::Done { server, life, job } => self.done(server, life, job),
+            What::FromServer {
+                home,
+                server,
+                attempt,
+                answer,
+            } => {
+                let from = endpoint(11, server as u64);
+                self.feed(
+                    home,
+                    Event::Answer {
+                        from,
+                        attempt,
+                        answer,
+                    },
+                );
+            }
+            What::Notify {
+                server,
+                life,
+                home,
+                attempt,
+            } => {
+                self.notify(server, life, home, attempt);
+            }
+            What::Receipt {
+                home,
+                flow,
+                message,
+            } => self.receipt(home, flow, message),
+            What::Repeat(number) => self.repeat(number),
+            What::Return {
+                caller,
+                kind,
+                wanted,
+                comebacks,
+            } => {
+                self.call(caller, kind, wanted, comebacks);
+            }
+            What::Tick => {
+                for home in 0..self.homes.len() {
+                    self.feed(home, Event::Tick);
+                }
+                self.after(TICK.as_secs_f64(), What::Tick);
+            }
+            What::Probe => self.probe(),
+            What::Beat(home) => self.beat(home),
+            What::Loads { from, loads } => self.take_loads(from, loads),
+            What::Sample => self.sample(),
+            What::Fault(fault) => {
+                let fault = Rc::clone(&self.plan.faults[fault].1);
+                fault(self);
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let rate = (self.plan.rate)(self.now).max(0.001);
+        let wait = -self.rng.random::<f64>().max(1e-12).ln() / rate;
+        self.after(wait, What::Arrival);
+        let once = self.rng.random::<f64>() < self.plan.once;
+        let kind = if once { Kind::Once } else { Kind::Idempotent };
+        let caller = 1_000_000 + self.rng.random_range(0..5_000);
+        self.call(caller, kind, self.now, 0);
+    }
+
+    fn call(&mut self, caller: u64, kind: Kind, wanted: f64, comebacks: u32) {
+        self.next += 1;
+        let number = self.next;
+        let call = Call {
+            caller,
+            kind,
+            wanted,
+            runs: 0,
+            done: false,
+            told: false,
+            refused: false,
+            repeats: 0,
+            comebacks,
+        };
+        self.calls.insert(number, call);
+        self.send(number);
+        self.after(FIRST_REPEAT.as_secs_f64(), What::Repeat(number));
+    }
+
+    /// The fabric hands the datagram to any instance, dead ones included.
+    fn send(&mut self, number: u64) {
+        let home = self.rng.random_range(0..self.homes.len());
+        let wait = self.plan.caller_hop;
+        self.after(
+            wait,
+            What::ToHome {
+                home,
+                number,
+                hops: 0,
+            },
+        );
+    }
+
+    fn repeat(&mut self, number: u64) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        if call.done || call.told || call.repeats >= MAX_REPEATS {
+            return;
+        }
+        call.repeats += 1;
+        let wait = FIRST_REPEAT.as_secs_f64() * 2f64.powi(call.repeats as i32);
+        self.send(number);
+        self.after(wait, What::Repeat(number));
+    }
+
+    fn request(&self, number: u64) -> Option<Request> {
+        let call = self.calls.get(&number)?;
+        Some(Request {
+            flow: Flow {
+                service: service(),
+                caller: endpoint(12, call.caller),
+            },
+            id: Id(number.into()),
+            token: Token(number.into()),
+            kind: call.kind,
+            confirmable: true,
+            part: false,
+            datagram: Bytes::copy_from_slice(&number.to_be_bytes()),
+        })
+    }
+
+    fn to_home(&mut self, home: usize, number: u64, hops: u32) {
+        if let Some(request) = self.request(number) {
+            self.feed(home, Event::Request { request, hops });
+        }
+    }
+
+    fn peer(&mut self, to: usize, from: id::Holder, body: Body) {
+        match body {
+            Body::Relay(relay) => self.to_home(to, number(&relay.datagram), relay.hops),
+            body => self.feed(to, Event::Peer { from, body }),
+        }
+    }
+
+    fn feed(&mut self, home: usize, event: Event) {
+        if !self.homes[home].alive {
+            return;
+        }
+        let now = self.instant();
+        for action in self.homes[home].engine.handle(now, event) {
+            self.act(home, action);
+        }
+    }
+
+    fn hop(&self, home: usize, zone: usize) -> f64 {
+        if self.homes[home].zone == zone {
+            0.000_2
+        } else {
+            self.plan.hop
+        }
+    }
+
+    fn act(&mut self, home: usize, action: Action) {
+        match action {
+            Action::Forward {
+                server,
+                attempt,
+                remaining,
+                datagram,
+                ..
+            } => {
+                let IpAddr::V4(address) = server.address.0.ip() else {
+                    return;
+                };
+                let server = address.octets()[3] as usize;
+                let wait = self.hop(home, server_zone(&self.plan, server));
+                let job = Job {
+                    home,
+                    attempt,
+                    number: number(&datagram),
+                    deadline: self.now + remaining.as_secs_f64(),
+                };
+                self.after(wait, What::ToServer { server, job });
+            }
+            Action::Reject { to, attempt, .. } => {
+                if let IpAddr::V4(address) = to.0.ip() {
+                    let server = address.octets()[3] as usize;
+                    self.models[server].feeds.remove(&(home, attempt));
+                }
+            }
+            Action::Answer { id, outcome, .. } => self.answered(id.0 as u64, outcome),
+            Action::Acknowledge { id, .. } => {
+                if let Some(call) = self.calls.get_mut(&(id.0 as u64)) {
+                    call.told = true;
+                }
+            }
+            Action::Notify {
+                flow,
+                token,
+                message,
+                confirmable,
+                datagram,
+                ..
+            } => {
+                self.notified(token.0 as u64, datagram);
+                if confirmable {
+                    let wait = 2.0 * self.plan.caller_hop;
+                    self.after(
+                        wait,
+                        What::Receipt {
+                            home,
+                            flow,
+                            message,
+                        },
+                    );
+                }
+            }
+            Action::Peer { to, body } => {
+                let found = self.homes.iter().position(|home| home.holder == to);
+                if let Some(to) = found {
+                    let wait = self.hop(home, self.homes[to].zone);
+                    self.after(
+                        wait,
+                        What::Peer {
+                            to,
+                            from: home,
+                            body,
+                        },
+                    );
+                }
+            }
+            Action::Note(note) => self.measure.note(self.now >= self.plan.from, note.reason),
+            Action::Joined { .. } => {}
+        }
+    }
+
+    fn answered(&mut self, number: u64, outcome: Outcome) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        if call.done {
+            return;
+        }
+        call.done = true;
+        call.refused = matches!(outcome, Outcome::NotRun { .. });
+        let (caller, kind, wanted, comebacks) =
+            (call.caller, call.kind, call.wanted, call.comebacks);
+        let now = self.now + self.plan.caller_hop;
+        let count = wanted >= self.plan.from;
+        match outcome {
+            Outcome::Answered(_) => {
+                if kind == Kind::Open {
+                    let watcher = Watcher {
+                        seen: now,
+                        gap: 0.0,
+                        open: true,
+                    };
+                    self.watchers.insert(number, watcher);
+                } else if count {
+                    self.measure.answered(now - wanted, kind.runs_once());
+                }
+            }
+            Outcome::NotRun { retry_after } => {
+                let again = kind == Kind::Open || comebacks < self.plan.comebacks;
+                if again {
+                    let jitter = 0.5 + self.rng.random::<f64>();
+                    let told = f64::from(retry_after) * jitter;
+                    let wait = if self.plan.heeds { told } else { 0.1 * jitter };
+                    let what = What::Return {
+                        caller,
+                        kind,
+                        wanted,
+                        comebacks: comebacks + 1,
+                    };
+                    self.after(wait, what);
+                } else if count {
+                    self.measure.refused += 1;
+                }
+                if count {
+                    self.measure.refusals += 1;
+                }
+            }
+            Outcome::Unknown if count => {
+                self.measure.unknown += u64::from(kind.runs_once());
+                self.measure.late += u64::from(!kind.runs_once());
+            }
+            Outcome::Unknown => {}
+        }
+    }
+
+    fn notified(&mut self, number: u64, datagram: Option<Bytes>) {
+        let now = self.now;
+        if let Some(watcher) = self.watchers.get_mut(&number) {
+            watcher.gap = watcher.gap.max(now - watcher.seen);
+            watcher.seen = now;
+            if datagram.is_none() {
+                watcher.open = false;
+                self.measure.feeds_ended += 1;
+            }
+        }
+    }
+
+    fn receipt(&mut self, home: usize, flow: Flow, message: u16) {
+        let event = Event::Receipt {
+            flow,
+            message,
+            receipt: Receipt::Acknowledged,
+            hops: 0,
+            datagram: Bytes::new(),
+        };
+        self.feed(home, event);
+    }
+
+    fn reply(&mut self, server: usize, home: usize, attempt: id::Attempt, answer: Answer) {
+        let wait = self.hop(home, server_zone(&self.plan, server));
+        self.after(
+            wait,
+            What::FromServer {
+                home,
+                server,
+                attempt,
+                answer,
+            },
+        );
+    }
+
+    fn to_server(&mut self, server: usize, job: Job) {
+        let open = self.calls.get(&job.number).map(|call| call.kind) == Some(Kind::Open);
+        let model = &mut self.models[server];
+        if !model.up {
+            return;
+        }
+        if !model.ours {
+            self.measure.misdirected += 1;
+            let answer = plain(Verdict::Handled, false);
+            self.reply(server, job.home, job.attempt, answer);
+            return;
+        }
+        if model.health == Health::Draining {
+            self.reply(
+                server,
+                job.home,
+                job.attempt,
+                plain(Verdict::Refused, false),
+            );
+            return;
+        }
+        if open {
+            let (home, attempt, life) = (job.home, job.attempt, model.life);
+            model.feeds.insert((home, attempt), job.number);
+            self.reply(server, home, attempt, plain(Verdict::Handled, true));
+            let wait = FEED_WORK + self.plan.notify_every * self.rng.random::<f64>();
+            self.after(
+                wait,
+                What::Notify {
+                    server,
+                    life,
+                    home,
+                    attempt,
+                },
+            );
+            return;
+        }
+        if model.queue.len() >= self.plan.shed {
+            self.reply(
+                server,
+                job.home,
+                job.attempt,
+                plain(Verdict::Refused, false),
+            );
+            return;
+        }
+        model.queue.push_back(job);
+        self.work(server);
+    }
+
+    fn work(&mut self, server: usize) {
+        while self.models[server].busy < self.plan.slots as usize {
+            let Some(job) = self.models[server].queue.pop_front() else {
+                return;
+            };
+            if self.plan.honours_deadline && self.now > job.deadline {
+                continue;
+            }
+            if let Some(call) = self.calls.get_mut(&job.number) {
+                call.runs += 1;
+            }
+            let draw = -self.rng.random::<f64>().max(1e-12).ln();
+            let model = &mut self.models[server];
+            model.busy += 1;
+            let cold = model.cold_since.map_or(1.0, |since| {
+                const COLD: f64 = 4.0;
+                const WARM_UP: f64 = 5.0;
+                1.0 + COLD * (-(self.now - since) / WARM_UP).exp()
+            });
+            let time = self.plan.service * draw * model.slow * cold;
+            let life = model.life;
+            self.after(time, What::Done { server, life, job });
+        }
+    }
+
+    fn done(&mut self, server: usize, life: u32, job: Job) {
+        if self.models[server].life != life {
+            return;
+        }
+        self.models[server].busy -= 1;
+        self.reply(
+            server,
+            job.home,
+            job.attempt,
+            plain(Verdict::Handled, false),
+        );
+        self.work(server);
+    }
+
+    fn notify(&mut self, server: usize, life: u32, home: usize, attempt: id::Attempt) {
+        let model = &self.models[server];
+        if model.life != life || !model.feeds.contains_key(&(home, attempt)) {
+            return;
+        }
+        self.reply(server, home, attempt, plain(Verdict::Handled, true));
+        let wait = self.plan.notify_every;
+        self.after(
+            wait,
+            What::Notify {
+                server,
+                life,
+                home,
+                attempt,
+            },
+        );
+    }
+
+    fn probe(&mut self) {
+        let now = self.instant();
+        for home in self.homes.iter().filter(|home| home.alive) {
+            for (server, model) in home.servers.iter().zip(&self.models) {
+                match model.health {
+                    Health::Silent => {}
+                    Health::Foreign => server.disown(),
+                    health => {
+                        server.state().draining = health == Health::Draining;
+                        server.confirm(now, CONFIRM_FOR);
+                    }
+                }
+            }
+        }
+        self.after(PROBE_EVERY.as_secs_f64(), What::Probe);
+    }
+
+    fn beat(&mut self, home: usize) {
+        self.after(BEAT_EVERY.as_secs_f64(), What::Beat(home));
+        let Gossip::On { lag, lie } = self.plan.gossip else {
+            return;
+        };
+        let factor = if home == 0 { lie } else { 1.0 };
+        let told = |count: u32| (f64::from(count) * factor) as u32;
+        let loads = self.homes[home].servers.iter().map(|server| {
+            let state = server.state();
+            (told(state.outstanding), told(state.feeds))
+        });
+        let loads = loads.collect();
+        let wait = self.plan.hop + lag;
+        self.after(wait, What::Loads { from: home, loads });
+    }
+
+    fn take_loads(&mut self, from: usize, loads: Vec<(u32, u32)>) {
+        let live: Vec<bool> = self.homes.iter().map(|home| home.alive).collect();
+        for (place, home) in self.homes.iter_mut().enumerate() {
+            if place == from {
+                continue;
+            }
+            home.loads.insert(from, loads.clone());
+            for (number, server) in home.servers.iter().enumerate() {
+                let heard = home.loads.iter().filter(|(peer, _)| live[**peer]);
+                let sum = heard.fold((0, 0), |sum, (_, loads)| {
+                    (sum.0 + loads[number].0, sum.1 + loads[number].1)
+                });
+                let mut state = server.state();
+                (state.elsewhere, state.feeds_elsewhere) = sum;
+            }
+        }
+    }
+
+    /// The instance dies; a second later others notice and its backups take over.
+    pub(crate) fn kill(&mut self, home: usize) {
+        self.homes[home].alive = false;
+    }
+
+    /// What the control tasks do once a dead instance is noticed.
+    pub(crate) fn promote(&mut self, dead: usize) {
+        let holder = self.homes[dead].holder.clone();
+        self.tell_view();
+        for slice in 0..SLICES {
+            let row = self.table.row(id::Slice(slice)).clone();
+            let epoch = id::Epoch(row.epoch.0 + 1);
+            let survivor = self.homes[(dead + 1) % self.homes.len()].holder.clone();
+            let next = if row.is_home(&holder) {
+                let blank = row.backup.is_none();
+                let home = row.backup.or(Some(survivor));
+                Row {
+                    epoch,
+                    home,
+                    backup: None,
+                    blank,
+                }
+            } else if row.is_backup(&holder) {
+                Row {
+                    epoch,
+                    backup: None,
+                    ..row
+                }
+            } else {
+                continue;
+            };
+            self.table.advance(id::Slice(slice), next);
+        }
+        self.tell_table();
+    }
+
+    fn sample(&mut self) {
+        let up = self.models.iter().filter(|model| model.up);
+        let loads: Vec<(usize, usize)> = up
+            .map(|model| (model.outstanding(), model.feeds()))
+            .collect();
+        self.measure.sample(self.now, &loads);
+        self.after(SAMPLE_EVERY.as_secs_f64(), What::Sample);
+    }
+
+    fn finish(mut self) -> Measure {
+        const STALL: f64 = 10.0;
+        let from = self.plan.from;
+        for call in self.calls.values() {
+            let once = call.kind.runs_once();
+            self.measure.doubles += u64::from(once && call.runs > 1);
+            self.measure.lies += u64::from(once && call.refused && call.runs > 0);
+            let young = call.wanted > self.plan.length - 20.0;
+            let counted = call.kind != Kind::Open && call.wanted >= from && !young;
+            self.measure.silent += u64::from(counted && !call.done);
+        }
+        for watcher in self.watchers.values().filter(|watcher| watcher.open) {
+            let gap = watcher.gap.max(self.plan.length - watcher.seen);
+            self.measure.feeds_stalled += u64::from(gap > STALL);
+        }
+        self.measure.feeds_open = self.watchers.len() as u64;
+        self.measure
+    }
+}
+
+fn number(datagram: &[u8]) -> u64 {
+    datagram.try_into().map_or(0, u64::from_be_bytes)
+}
+
+fn plain(verdict: Verdict, feed: bool) -> Answer {
+    Answer {
+        verdict,
+        feed,
+        more: false,
+        retry_after: None,
+        datagram: Bytes::from_static(b"answer"),
+    }
+}
+
+fn new_home(plan: &Plan, home: usize, seed: u64) -> Home {
+    let zone = home % plan.zones.len();
+    let holder = id::Holder {
+        instance: format!("entry-{home}").parse().expect("a name"),
+        incarnation: id::Incarnation(1),
+    };
+    let servers: Vec<Arc<Server>> = (0..plan.servers)
+        .map(|server| Arc::new(new_server(plan, server)))
+        .collect();
+    let settings = Settings {
+        me: holder.clone(),
+        zone: plan.zones[zone].parse().expect("a name"),
+        worker: 0,
+        workers: 1,
+        hash_key: 7,
+        max_parked: 10_000,
+        max_flows: 1_000_000,
+        seed: seed.wrapping_mul(1_000).wrapping_add(home as u64),
+    };
+    let chosen = Service {
+        id: service(),
+        profile_id: "live-feed".parse().expect("a name"),
+        revision: id::Revision(1),
+        profile: Arc::new(plan.profile.clone()),
+        servers: servers.clone(),
+    };
+    let mut engine = Engine::new(settings);
+    let snapshot = Snapshot {
+        services: HashMap::from([(service(), Arc::new(chosen))]),
+    };
+    engine.handle(Instant::now(), Event::Snapshot(Arc::new(snapshot)));
+    Home {
+        engine,
+        holder,
+        zone,
+        servers,
+        alive: true,
+        loads: HashMap::new(),
+    }
+}
+
+fn new_server(plan: &Plan, server: usize) -> Server {
+    let name = format!("d{server:02}");
+    let listed = godwitreel::document::Server {
+        service: service(),
+        zone: plan.zones[server_zone(plan, server)]
+            .parse()
+            .expect("a name"),
+        address: endpoint(11, server as u64),
+        health: endpoint(13, server as u64),
+        slots: plan.slots,
+        state: State::Up,
+    };
+    Server::new(name.parse().expect("a name"), &listed)
+}
