Rank requests by own counts and choose the least loaded server

Cause: with peers' counts from heartbeats every home ranked the server first that was idle a second ago, and all filled it together. Ruled out: the engine's choice itself (without peers' counts the same policies stand far better); lag of the counts beyond the heartbeat (none was set). Change: requests are ranked by own outstanding count; peers' counts still limit the room at a server and still rank feeds, which last. LeastLoaded is the default.

--- a/examples/policy/measure.rs
+++ b/examples/policy/measure.rs
@@ -110,7 +110,6 @@
         self.feed_peaks / self.samples.max(1) as f64
     }
 
-
     /// A latency percentile in milliseconds.
     pub(crate) fn latency(&self, share: f64) -> f64 {
         let mut sorted = self.latencies.clone();
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -9,7 +9,6 @@
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +54,7 @@
 const FEED_WORK: f64 = 0.001;
 
 /// Something that goes wrong, or right again, at a time.
-pub(crate) type Fault = (f64, Rc<dyn Fn(&mut World)>);
+pub(crate) type Fault = (f64, Arc<dyn Fn(&mut World) + Send + Sync>);
 
 /// How a server looks when it is not told what to look like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +87,7 @@
     pub(crate) caller_hop: f64,
     pub(crate) profile: Profile,
     /// Requests a second, by time.
-    pub(crate) rate: Rc<dyn Fn(f64) -> f64>,
+    pub(crate) rate: Arc<dyn Fn(f64) -> f64 + Send + Sync>,
     /// Share of non-idempotent requests.
     pub(crate) once: f64,
     pub(crate) feeds: usize,
@@ -495,7 +494,7 @@
             What::Loads { from, loads } => self.take_loads(from, loads),
             What::Sample => self.sample(),
             What::Fault(fault) => {
-                let fault = Rc::clone(&self.plan.faults[fault].1);
+                let fault = Arc::clone(&self.plan.faults[fault].1);
                 fault(self);
             }
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -100,11 +100,13 @@
     }
     let warmth = state.warmth(now, profile);
     let full = f64::from(server.slots) * f64::from(1 + profile.queue_per_slot);
+    let room = work == Work::Feed || f64::from(state.load()) < (full * warmth).max(1.0);
     let load = match work {
-        Work::Request => state.load(),
+        // A request is over long before the next heartbeat: ranking by what peers
+        // told sends everyone to the server that was idle a second ago.
+        Work::Request => state.outstanding,
         Work::Feed => state.feed_load(),
     };
-    let room = work == Work::Feed || f64::from(load) < (full * warmth).max(1.0);
     room.then(|| f64::from(load) / (f64::from(server.slots) * warmth))
 }
 
--- a/src/document.rs
+++ b/src/document.rs
@@ -34,9 +34,9 @@
     /// Rendezvous hashing that skips servers above the bounded load.
     BoundedLoad,
     /// The less loaded of two servers drawn at random.
-    #[default]
     TwoChoices,
     /// The least loaded of all servers.
+    #[default]
     LeastLoaded,
 }
 
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,107 @@
+//! Choice of servers, and how the policy answers load and faults.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitreel::balance;
+use godwitreel::balance::Work;
+use godwitreel::document;
+use godwitreel::document::Policy;
+use godwitreel::document::Profile;
+use godwitreel::id;
+use godwitreel::request::Flow;
+use godwitreel::server::Server;
+use godwitreel::snapshot::Service;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+const CONFIRM_FOR: Duration = Duration::from_millis(1_500);
+const DRAWS: usize = 50;
+
+fn endpoint(net: u8, number: u8) -> id::Endpoint {
+    id::Endpoint((Ipv4Addr::new(net, 0, 0, number), 5683).into())
+}
+
+fn zone(name: &str) -> id::Zone {
+    name.parse().unwrap()
+}
+
+fn server(number: u8, zone: &str) -> Arc<Server> {
+    let listed = document::Server {
+        service: "dispatch".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        address: endpoint(11, number),
+        health: endpoint(13, number),
+        slots: 2,
+        state: document::State::Up,
+    };
+    Arc::new(Server::new(
+        format!("d{number:02}").parse().unwrap(),
+        &listed,
+    ))
+}
+
+fn service(profile: Profile, servers: Vec<Arc<Server>>) -> Service {
+    Service {
+        id: "dispatch".parse().unwrap(),
+        profile_id: "live-feed".parse().unwrap(),
+        revision: id::Revision(1),
+        profile: Arc::new(profile),
+        servers,
+    }
+}
+
+/// A profile whose servers are warm at once.
+fn profile(policy: Policy) -> Profile {
+    Profile {
+        policy,
+        slow_start_s: 0,
+        ..Profile::default()
+    }
+}
+
+fn confirm(service: &Service, now: Instant) {
+    for server in &service.servers {
+        server.confirm(now, CONFIRM_FOR);
+    }
+}
+
+/// Names of the servers chosen in many draws, one for each draw.
+fn draw(service: &Service, work: Work, now: Instant) -> Vec<String> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let place = zone("bole");
+    let chosen = (0..DRAWS).filter_map(|caller| {
+        let flow = Flow {
+            service: service.id.clone(),
+            caller: endpoint(12, caller as u8),
+        };
+        balance::choose(service, &flow, work, &place, &[], now, &mut rng)
+    });
+    chosen.map(|server| server.id.to_string()).collect()
+}
+
+/// Callers would wait behind each other at one server while others idle: all
+/// homes hear the same heartbeat, rank the server that was idle a second ago
+/// first, and fill it together. Requests are over long before the next heartbeat,
+/// so that only the own count is fresh enough to rank by.
+#[test]
+fn ranks_requests_by_own_count() {
+    let now = Instant::now();
+    let service = service(
+        profile(Policy::LeastLoaded),
+        vec![server(1, "bole"), server(2, "bole")],
+    );
+    confirm(&service, now);
+    service.servers[0].state().elsewhere = 2;
+    service.servers[1].state().outstanding = 1;
+    assert!(
+        draw(&service, Work::Request, now)
+            .iter()
+            .all(|id| id == "d01")
+    );
+    service.servers[0].state().feeds_elsewhere = 2;
+    service.servers[1].state().feeds = 1;
+    assert!(draw(&service, Work::Feed, now).iter().all(|id| id == "d02"));
+}
