Trust servers on earlier proof when health endpoints fail together

Cause: a server took work only with a health answer of the last 1.5 s, so health endpoints that fail together took the whole service with them. Ruled out: a longer confirmation for all, which would keep sending to an address that another service took over while its health is silent. Change: an answer to a request that names our service proves as much as a health answer, counted from its sending. When under half of the trusted servers are confirmed, trusted ones (proven within 60 s, never disowned since, no failure since their last answer) are used too. Three answers 4.04 in a row while health is silent end the trust; a health answer that names another service ends it at once.

--- a/examples/policy/rounds.rs
+++ b/examples/policy/rounds.rs
@@ -213,8 +213,13 @@
     }
 }
 
+const CLAIMS: [Column; 2] = [
+    ("claims", |run| run.reason(Reason::Claimed)),
+    ("unknown: claimed", |run| run.reason(Reason::UnknownClaimed)),
+];
+
 fn killed() {
-    let columns = join(&[&[("good %", Measure::good)], &BROKEN, &TRUTH[1..]]);
+    let columns = join(&[&[("good %", Measure::good)], &BROKEN, &TRUTH[1..], &CLAIMS]);
     measure::head(
         "Abay, 50 % of slots, one home killed, noticed after 2 s",
         &columns,
@@ -327,6 +332,27 @@
 
 fn ejection() {
     let columns = join(&[&RECOVERY[..3], &BROKEN[..3], &EJECTIONS]);
+    measure::head(
+        "Abay, 60 %, twelve of 15 servers lose 40 % of their answers, seconds 20 to 40",
+        &columns,
+    );
+    for floor in [0, 20, 50, 80] {
+        let plan = with(abay(0.6), |profile| profile.eject_floor_percent = floor);
+        let lose = move |loss: f64| {
+            move |world: &mut World| {
+                for server in 0..12 {
+                    world.models[server].loss = loss;
+                }
+            }
+        };
+        let faults = vec![fault(20.0, lose(0.4)), fault(40.0, lose(0.0))];
+        let plan = Plan {
+            faults,
+            length: 60.0,
+            ..plan
+        };
+        show(&format!("floor {floor} %"), &columns, &plan);
+    }
     for (what, hung) in [("three", 3), ("twelve", 12)] {
         let title =
             format!("Abay, 15 %, {what} of 15 servers fifty times slower, seconds 20 to 40");
@@ -382,6 +408,7 @@
 
 fn health() {
     let columns = join(&[
+        &EJECTIONS,
         &[("good %", Measure::good)],
         &BROKEN,
         &[("misdirected", |run: &Measure| run.misdirected as f64)],
@@ -408,6 +435,14 @@
         ("nothing", Vec::new()),
         ("health of all down", vec![silent(15)]),
         ("health of 5 down", vec![silent(5)]),
+        (
+            "9 servers die",
+            vec![fault(20.0, |world| {
+                for server in 0..9 {
+                    world.models[server].stop();
+                }
+            })],
+        ),
         (
             "5 addresses taken over, health names the other service",
             vec![taken(Health::Foreign)],
--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -124,6 +124,8 @@
     /// Whether the address runs the listed service.
     pub(crate) ours: bool,
     pub(crate) slow: f64,
+    /// Share of its answers that get lost.
+    pub(crate) loss: f64,
     /// When it started cold.
     pub(crate) cold_since: Option<f64>,
     life: u32,
@@ -287,6 +289,8 @@
     next: u64,
     rng: SmallRng,
     measure: Measure,
+    /// The instance that is known to be dead.
+    noticed: Option<usize>,
 }
 
 fn service() -> id::Service {
@@ -322,6 +326,7 @@
             health: Health::Up,
             ours: true,
             slow: 1.0,
+            loss: 0.0,
             cold_since: None,
             life: 0,
             busy: 0,
@@ -343,6 +348,7 @@
             next: 0,
             rng: SmallRng::seed_from_u64(seed),
             measure: Measure::new(plan.slots as usize),
+            noticed: None,
             plan,
         };
         world.assign();
@@ -529,9 +535,13 @@
         self.after(FIRST_REPEAT.as_secs_f64(), What::Repeat(number));
     }
 
-    /// The fabric hands the datagram to any instance, dead ones included.
+    /// The fabric hands the datagram to any instance, dead ones included until
+    /// they are noticed.
     fn send(&mut self, number: u64) {
-        let home = self.rng.random_range(0..self.homes.len());
+        let mut home = self.rng.random_range(0..self.homes.len());
+        if self.noticed == Some(home) {
+            home = (home + 1) % self.homes.len();
+        }
         let wait = self.plan.caller_hop;
         self.after(
             wait,
@@ -755,6 +765,9 @@
     }
 
     fn reply(&mut self, server: usize, home: usize, attempt: id::Attempt, answer: Answer) {
+        if self.rng.random::<f64>() < self.models[server].loss {
+            return;
+        }
         let wait = self.hop(home, server_zone(&self.plan, server));
         self.after(
             wait,
@@ -775,7 +788,7 @@
         }
         if !model.ours {
             self.measure.misdirected += 1;
-            let answer = plain(Verdict::Handled, false);
+            let answer = plain(Verdict::NotFound, false);
             self.reply(server, job.home, job.attempt, answer);
             return;
         }
@@ -933,6 +946,7 @@
     /// What the control tasks do once a dead instance is noticed.
     pub(crate) fn promote(&mut self, dead: usize) {
         let holder = self.homes[dead].holder.clone();
+        self.noticed = Some(dead);
         self.tell_view();
         for slice in 0..SLICES {
             let row = self.table.row(id::Slice(slice)).clone();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,6 +24,10 @@
 /// Load above which bounded-load hashing skips a server, against the mean.
 const BOUND: f64 = 1.25;
 
+/// Share of the trusted servers under which confirmed ones are too few to be the
+/// only ones used, in percent.
+const LEAST_CONFIRMED_PERCENT: usize = 50;
+
 /// What the work will occupy at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -40,6 +44,34 @@
     local: bool,
 }
 
+/// Whether trusted servers may be used beside confirmed ones.
+///
+/// Health endpoints that fail together would take the whole service down with
+/// them. An address that another service took over falls silent by itself, not
+/// with most of the others, and is never trusted once its health answer says so.
+pub fn on_trust(service: &Service, now: Instant) -> bool {
+    let (mut trusted, mut confirmed) = (0, 0);
+    for server in &service.servers {
+        let state = server.state();
+        if state.is_trusted(now) && !state.is_leaving() {
+            trusted += 1;
+            confirmed += usize::from(state.is_confirmed(now));
+        }
+    }
+    confirmed * 100 < trusted * LEAST_CONFIRMED_PERCENT
+}
+
+/// Whether the address is known to run the service, as well as can be known now.
+fn is_known(state: &State, trust: bool, now: Instant) -> bool {
+    state.is_confirmed(now) || (trust && state.is_trusted(now))
+}
+
+/// Whether work that belongs at this very server may be sent there.
+pub fn may_return(service: &Service, server: &Server, now: Instant) -> bool {
+    let trust = on_trust(service, now);
+    is_known(&server.state(), trust, now)
+}
+
 /// The server for a new piece of work, or none if all are full or away.
 pub fn choose(
     service: &Service,
@@ -70,6 +102,7 @@
     now: Instant,
 ) -> Vec<Candidate<'a>> {
     let profile = &service.profile;
+    let trust = on_trust(service, now);
     let usable = |server: &&Arc<Server>| !tried.contains(&server.id);
     service
         .servers
@@ -77,6 +110,9 @@
         .filter(usable)
         .filter_map(|server| {
             let state = server.state();
+            if !is_known(&state, trust, now) || state.is_leaving() || state.is_resting(now) {
+                return None;
+            }
             let load = weigh(server, &state, work, now, profile)?;
             Some(Candidate {
                 server,
@@ -87,7 +123,7 @@
         .collect()
 }
 
-/// Load per slot and warmth, or none if the server takes no such work now.
+/// Load per slot and warmth, or none if the server has no room for such work.
 fn weigh(
     server: &Server,
     state: &State,
@@ -95,9 +131,6 @@
     now: Instant,
     profile: &Profile,
 ) -> Option<f64> {
-    if !state.takes_work(now) {
-        return None;
-    }
     let warmth = state.warmth(now, profile);
     let full = f64::from(server.slots) * f64::from(1 + profile.queue_per_slot);
     let room = work == Work::Feed || f64::from(state.load()) < (full * warmth).max(1.0);
--- a/src/codec.rs
+++ b/src/codec.rs
@@ -249,14 +249,14 @@
         .try_into()
         .map_err(|_| refuse(&from, "not a token of ours".to_owned()))?;
     let code = packet.header.code;
-    let refused = code == MessageClass::Response(ResponseType::ServiceUnavailable);
+    let verdict = match code {
+        MessageClass::Response(ResponseType::ServiceUnavailable) => Verdict::Refused,
+        MessageClass::Response(ResponseType::NotFound) => Verdict::NotFound,
+        _ => Verdict::Handled,
+    };
     let more = option(&packet, CoapOption::Block2).is_some_and(|block| block & BLOCK_MORE != 0);
     let answer = Answer {
-        verdict: if refused {
-            Verdict::Refused
-        } else {
-            Verdict::Handled
-        },
+        verdict,
         feed: packet.get_option(CoapOption::Observe).is_some(),
         more,
         retry_after: option(&packet, CoapOption::MaxAge),
--- a/src/request.rs
+++ b/src/request.rs
@@ -116,6 +116,9 @@
 pub enum Verdict {
     /// The request was handled, whatever the result.
     Handled,
+    /// The server handled it but knows no such thing, as a server of another
+    /// service would say too.
+    NotFound,
     /// The server states that it did not start the request.
     Refused,
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -14,6 +14,15 @@
 use crate::document::State as Listed;
 use crate::id;
 
+/// How long a server is still believed to run its service after the last proof,
+/// while the health endpoints of most others are silent too. It bounds how long
+/// an address that was taken over meanwhile could be mistaken.
+pub const TRUST_FOR: Duration = Duration::from_secs(60);
+
+/// Answers "not found" in a row, while health is silent, after which an address
+/// is no longer taken to run the service.
+const MAX_DOUBTS: u32 = 3;
+
 /// A backend server that may be chosen for work.
 #[derive(Debug)]
 pub struct Server {
@@ -51,6 +60,15 @@
     pub draining: bool,
     /// Until when the address is known to run the listed service.
     pub confirmed_until: Option<Instant>,
+    /// Until when the last health answer counts.
+    pub healthy_until: Option<Instant>,
+    /// Answers "not found" in a row.
+    pub doubts: u32,
+    /// How long a proof of the service counts in full.
+    pub valid: Duration,
+    /// Time of the last proof that the address runs the listed service; none
+    /// after a sign that it does not.
+    pub proven_at: Option<Instant>,
     /// When it was first confirmed; the start of its slow start.
     pub up_since: Option<Instant>,
     /// Failures in a row.
@@ -80,6 +98,10 @@
                 drained: false,
                 draining: false,
                 confirmed_until: None,
+                healthy_until: None,
+                doubts: 0,
+                valid: Duration::ZERO,
+                proven_at: None,
                 up_since: None,
                 failures: 0,
                 ejected_until: None,
@@ -99,13 +121,48 @@
     /// Notes a health answer that named the listed service.
     pub fn confirm(&self, now: Instant, valid: Duration) {
         let mut state = self.state();
+        state.valid = valid;
+        state.proven_at = Some(now);
         state.confirmed_until = Some(now + valid);
+        state.healthy_until = state.confirmed_until;
+        state.doubts = 0;
         state.up_since.get_or_insert(now);
     }
 
+    /// Notes an answer to a request that named the service and was sent at `sent`.
+    ///
+    /// A server of another service refuses that name, so the answer proves as much
+    /// as a health answer. It counts from the sending, as an answer may be late,
+    /// and not after a sign to the contrary, which only a health answer lifts.
+    pub fn prove(&self, sent: Instant) {
+        let mut state = self.state();
+        let Some(proven) = state.proven_at else {
+            return;
+        };
+        state.proven_at = Some(proven.max(sent));
+        state.doubts = 0;
+        let until = sent + state.valid;
+        state.confirmed_until = state.confirmed_until.map(|known| known.max(until));
+    }
+
+    /// Notes an answer that the right server gives at times and a server of
+    /// another service gives always. It says nothing while health answers.
+    pub fn doubt(&self, now: Instant) {
+        let mut state = self.state();
+        if state.healthy_until.is_some_and(|until| now < until) {
+            return;
+        }
+        state.doubts += 1;
+        if state.doubts >= MAX_DOUBTS {
+            state.proven_at = None;
+            state.confirmed_until = None;
+        }
+    }
+
     /// Notes that the address runs something else.
     pub fn disown(&self) {
         let mut state = self.state();
+        state.proven_at = None;
         state.confirmed_until = None;
         state.up_since = None;
     }
@@ -124,6 +181,13 @@
         self.confirmed_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it was known to run the service not long ago and has answered since
+    /// what it was sent: a server that died is given up at its first failure.
+    pub fn is_trusted(&self, now: Instant) -> bool {
+        let recent = self.proven_at.is_some_and(|at| now < at + TRUST_FOR);
+        self.is_confirmed(now) || (recent && self.failures == 0)
+    }
+
     /// Whether it is leaving, by any signal.
     pub fn is_leaving(&self) -> bool {
         self.drained || self.draining || self.listed == Listed::Leaving
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -105,3 +105,61 @@
     service.servers[1].state().feeds = 1;
     assert!(draw(&service, Work::Feed, now).iter().all(|id| id == "d02"));
 }
+
+/// Callers would be refused though every server works: health endpoints fail
+/// together, confirmations run out, and no server takes work. What was known a
+/// moment ago, from addresses that answer, is better than refusing everyone.
+#[test]
+fn goes_on_when_health_endpoints_fail_together() {
+    let now = Instant::now();
+    let servers = vec![server(1, "bole"), server(2, "bole"), server(3, "bole")];
+    let service = service(profile(Policy::LeastLoaded), servers);
+    confirm(&service, now);
+    let later = now + Duration::from_secs(20);
+    assert_eq!(draw(&service, Work::Request, later).len(), DRAWS);
+    let end = now + Duration::from_secs(61);
+    assert!(draw(&service, Work::Request, end).is_empty());
+}
+
+/// A pickup booking would reach the ledger: a server is replaced, its health
+/// falls silent alone, and it must not be trusted for old times' sake. The same
+/// once its health answer names another service, however silent the others are.
+#[test]
+fn trusts_no_server_that_is_silent_alone_or_disowned() {
+    let now = Instant::now();
+    let servers = vec![server(1, "bole"), server(2, "bole"), server(3, "bole")];
+    let service = service(profile(Policy::LeastLoaded), servers);
+    confirm(&service, now);
+    let later = now + Duration::from_secs(20);
+    service.servers[1].confirm(later, CONFIRM_FOR);
+    service.servers[2].confirm(later, CONFIRM_FOR);
+    assert!(!draw(&service, Work::Request, later).contains(&"d01".to_owned()));
+    let end = now + Duration::from_secs(30);
+    service.servers[0].disown();
+    service.servers[0].prove(end);
+    let chosen = draw(&service, Work::Request, end);
+    assert_eq!(chosen.len(), DRAWS);
+    assert!(!chosen.contains(&"d01".to_owned()));
+}
+
+/// While no health answer tells them apart, a server of another service shows by
+/// refusing our service's name every time. An application that says so at times
+/// answers something else in between and goes on.
+#[test]
+fn doubts_a_server_that_knows_nothing() {
+    let now = Instant::now();
+    let servers = vec![server(1, "bole"), server(2, "bole")];
+    let service = service(profile(Policy::LeastLoaded), servers);
+    confirm(&service, now);
+    let later = now + Duration::from_secs(5);
+    for _ in 0..3 {
+        service.servers[0].doubt(later);
+        service.servers[1].doubt(later);
+        service.servers[1].prove(later);
+    }
+    assert!(
+        draw(&service, Work::Request, later)
+            .iter()
+            .all(|id| id == "d02")
+    );
+}
