--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -147,7 +147,7 @@
         let (id, used) = self.slices.get(&slice)?.pins.get(flow)?;
         let server = service.server(id)?;
         let fresh = now < *used + PIN_TIME && !tried.contains(id);
-        let usable = fresh && server.state().is_confirmed(now);
+        let usable = fresh && balance::may_return(service, server, now);
         usable.then(|| Arc::clone(server))
     }
 
@@ -275,7 +275,7 @@
     ) {
         match answer.verdict {
             Verdict::Refused => self.refused(now, slice, key, attempt, &answer),
-            Verdict::Handled => self.handled(now, slice, key, attempt, answer),
+            Verdict::Handled | Verdict::NotFound => self.handled(now, slice, key, attempt, answer),
         }
     }
 
@@ -331,6 +331,11 @@
             return;
         };
         sending.server.state().failures = 0;
+        if answer.verdict == Verdict::NotFound {
+            sending.server.doubt(now);
+        } else {
+            sending.server.prove(sending.since);
+        }
         let Some(record) = self.record(slice, key) else {
             return;
         };
