Move feeds as the weight between broken flows and imbalance says

Change: a server may hold (100 - w) / w of its fair share on top of it; feeds beyond that are moved, 64 in two seconds at a worker, new registration first.

--- a/examples/policy/rounds.rs
+++ b/examples/policy/rounds.rs
@@ -16,7 +16,7 @@
 use crate::world::World;
 
 /// All rounds by name.
-pub(crate) const ALL: [(&str, fn()); 9] = [
+pub(crate) const ALL: [(&str, fn()); 10] = [
     ("choice", choice),
     ("lies", lies),
     ("spill", spill),
@@ -26,6 +26,7 @@
     ("ejection", ejection),
     ("admission", admission),
     ("health", health),
+    ("weight", weight),
 ];
 
 /// Runs at a time.
@@ -466,3 +467,45 @@
         );
     }
 }
+
+const FEEDS: [Column; 6] = [
+    ("feeds peak/mean", Measure::feed_peak),
+    ("over 1.25 until s", |run| run.uneven_until),
+    ("moves", |run| run.reason(Reason::FeedMoved)),
+    ("feeds ended", |run| run.feeds_ended as f64),
+    ("feeds stalled", |run| run.feeds_stalled as f64),
+    ("p99 ms", |run| run.latency(0.99)),
+];
+
+fn weight() {
+    let columns = join(&[&FEEDS, &TRUTH]);
+    for (user, plan) in [("Abay", abay(0.4)), ("Naukluft", naukluft(0.4))] {
+        let title = format!("{user}, 40 %, 5 of 15 servers drain at 15 s, restart at 25 s");
+        measure::head(&title, &columns);
+        for weight in [0, 10, 50, 75, 90, 100] {
+            let plan = with(plan.clone(), |profile| profile.balance_weight = weight);
+            let stop = fault(15.0, |world| {
+                for server in 0..5 {
+                    world.models[server].health = Health::Draining;
+                }
+            });
+            let start = fault(25.0, |world| {
+                let now = world.now;
+                for server in 0..5 {
+                    world.models[server].stop();
+                    world.models[server].start(now);
+                    for home in &world.homes {
+                        home.servers[server].disown();
+                    }
+                }
+            });
+            let plan = Plan {
+                from: 26.0,
+                length: 90.0,
+                faults: vec![stop, start],
+                ..plan
+            };
+            show(&format!("weight {weight}"), &columns, &plan);
+        }
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,6 +28,53 @@
 /// only ones used, in percent.
 const LEAST_CONFIRMED_PERCENT: usize = 50;
 
+/// Feeds above a server's share that are never worth a move.
+const LEAST_SURPLUS: f64 = 8.0;
+
+/// A server with more feeds than the profile's weight lets it keep.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Surplus {
+    /// The server.
+    pub server: id::Server,
+    /// The part of its feeds that should go elsewhere.
+    pub share: f64,
+}
+
+/// Servers whose feeds are uneven enough to move some.
+///
+/// A weight of `w` lets a server keep `(100 - w) / w` of its fair share on top of
+/// it: a ninth at 90, as much again at 50, nine times as much at 10, anything at
+/// 0. Feeds beyond that are moved until the server is back at that limit.
+pub fn surplus(service: &Service, now: Instant) -> Vec<Surplus> {
+    let profile = &service.profile;
+    let weight = f64::from(profile.balance_weight);
+    // Rendezvous ignores load, so that it would only send the feeds back.
+    if profile.balance_weight == 0 || profile.policy == Policy::Rendezvous {
+        return Vec::new();
+    }
+    let spare = (100.0 - weight) / weight;
+    let trust = on_trust(service, now);
+    let mut loads = Vec::new();
+    for server in &service.servers {
+        let state = server.state();
+        if is_known(&state, trust, now) && !state.is_leaving() && !state.is_resting(now) {
+            let size = f64::from(server.slots) * state.warmth(now, profile);
+            loads.push((server, f64::from(state.feed_load()), size));
+        }
+    }
+    let total: f64 = loads.iter().map(|(_, feeds, _)| feeds).sum();
+    let sizes: f64 = loads.iter().map(|(_, _, size)| size).sum();
+    let uneven = loads.into_iter().filter_map(|(server, feeds, size)| {
+        let limit = total / sizes * size * (1.0 + spare);
+        let over = feeds - limit;
+        (over >= LEAST_SURPLUS).then(|| Surplus {
+            server: server.id.clone(),
+            share: over / feeds,
+        })
+    });
+    uneven.collect()
+}
+
 /// What the work will occupy at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod inbound;
 mod outbound;
+mod rebalance;
 mod replica;
 
 use std::cmp::Reverse;
@@ -96,6 +97,7 @@
     /// Leaving servers whose feeds are being moved.
     vacated: HashSet<id::Server>,
     swept: Option<Instant>,
+    rebalanced: Option<Instant>,
     records: usize,
     feeds: usize,
     next_attempt: u64,
@@ -127,6 +129,7 @@
             releases: VecDeque::new(),
             vacated: HashSet::new(),
             swept: None,
+            rebalanced: None,
             records: 0,
             feeds: 0,
             next_attempt: start & mask,
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -27,6 +27,7 @@
             self.swept = Some(now);
             self.vacate();
         }
+        self.rebalance(now);
         self.move_feeds(now);
     }
 
--- /dev/null
+++ b/src/engine/rebalance.rs
@@ -0,0 +1,71 @@
+//! Moving feeds away from servers that hold more than their share.
+//!
+//! Feeds last for hours: a server that came back after a drain would stay empty
+//! all day while the others are full. How far a server may be above its share is
+//! the profile's weight between broken flows and imbalance, see
+//! [`balance::surplus`]. Moves are paced and register at the new server first.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Engine;
+use crate::balance;
+use crate::id;
+use crate::record::FeedKey;
+use crate::snapshot::Service;
+
+/// Time between rounds: more than a heartbeat, so that a round sees what the
+/// round before has moved and does not move it twice.
+const EVERY: Duration = Duration::from_secs(2);
+
+/// Feeds moved in one round: a burst of registrations would take the slots that
+/// requests need.
+const MOST_PER_ROUND: usize = 64;
+
+impl Engine {
+    /// Queues moves of feeds if it is time to look.
+    pub(super) fn rebalance(&mut self, now: Instant) {
+        if self.rebalanced.is_some_and(|at| now < at + EVERY) {
+            return;
+        }
+        self.rebalanced = Some(now);
+        let snapshot = Arc::clone(&self.snapshot);
+        let mut room = MOST_PER_ROUND;
+        for service in snapshot.services.values() {
+            for surplus in balance::surplus(service, now) {
+                let feeds = self.feeds_at(service, &surplus.server);
+                let share = surplus.share * feeds.len() as f64;
+                let count = (share.round() as usize).min(room);
+                room -= count;
+                for (slice, key) in feeds.into_iter().take(count) {
+                    self.move_away(slice, key);
+                }
+            }
+        }
+    }
+
+    fn feeds_at(&self, service: &Service, server: &id::Server) -> Vec<(id::Slice, FeedKey)> {
+        let tended = self.slices.iter().filter(|(slice, _)| self.tends(**slice));
+        let feeds = tended.flat_map(|(slice, state)| {
+            let feeds = state.feeds.iter().filter(|(key, feed)| {
+                let settled = feed.attempt.is_some() && feed.renewal.is_none();
+                settled && feed.server == *server && key.flow.service == service.id
+            });
+            feeds.map(|(key, _)| (*slice, key.clone()))
+        });
+        feeds.collect()
+    }
+
+    fn move_away(&mut self, slice: id::Slice, key: FeedKey) {
+        let state = self.slices.get_mut(&slice);
+        let Some(feed) = state.and_then(|state| state.feeds.get_mut(&key)) else {
+            return;
+        };
+        // Named as failed, the feed's own server is not chosen again; the next
+        // notification clears it.
+        feed.failed.push(feed.server.clone());
+        self.moves.push_back((slice, key));
+    }
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,18 +1,33 @@
 //! Choice of servers, and how the policy answers load and faults.
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use godwitreel::action::Action;
 use godwitreel::balance;
 use godwitreel::balance::Work;
 use godwitreel::document;
 use godwitreel::document::Policy;
 use godwitreel::document::Profile;
+use godwitreel::engine::Engine;
+use godwitreel::engine::Settings;
+use godwitreel::event::Event;
 use godwitreel::id;
+use godwitreel::request::Answer;
 use godwitreel::request::Flow;
+use godwitreel::request::Id;
+use godwitreel::request::Kind;
+use godwitreel::request::Request;
+use godwitreel::request::Token;
+use godwitreel::request::Verdict;
 use godwitreel::server::Server;
 use godwitreel::snapshot::Service;
+use godwitreel::snapshot::Snapshot;
+use godwitreel::table::Row;
+use godwitreel::table::Table;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -163,3 +178,150 @@
             .all(|id| id == "d02")
     );
 }
+
+/// One engine that is home of everything, without a backup.
+struct Home {
+    engine: Engine,
+    service: Service,
+    now: Instant,
+}
+
+impl Home {
+    fn new(profile: Profile, servers: Vec<Arc<Server>>) -> Self {
+        let now = Instant::now();
+        let me = id::Holder {
+            instance: "bole-1".parse().unwrap(),
+            incarnation: id::Incarnation(1),
+        };
+        let mut engine = Engine::new(Settings {
+            me: me.clone(),
+            zone: zone("bole"),
+            worker: 0,
+            workers: 1,
+            hash_key: 7,
+            max_parked: 100,
+            max_flows: 1_000,
+            seed: 1,
+        });
+        let service = service(profile, servers);
+        let snapshot = Snapshot {
+            services: HashMap::from([(service.id.clone(), Arc::new(service.clone()))]),
+        };
+        engine.handle(now, Event::Snapshot(Arc::new(snapshot)));
+        let mut table = Table::new(1);
+        let row = Row {
+            epoch: id::Epoch(1),
+            home: Some(me),
+            backup: None,
+            blank: false,
+        };
+        table.advance(id::Slice(0), row);
+        engine.handle(now, Event::Table(Arc::new(table)));
+        Self {
+            engine,
+            service,
+            now,
+        }
+    }
+
+    /// Hands an event in; servers accept every feed at once. Returns the names of
+    /// the servers that were asked.
+    fn tell(&mut self, event: Event) -> Vec<String> {
+        let mut asked = Vec::new();
+        for action in self.engine.handle(self.now, event) {
+            let Action::Forward {
+                server, attempt, ..
+            } = action
+            else {
+                continue;
+            };
+            asked.push(server.id.to_string());
+            let answer = Answer {
+                verdict: Verdict::Handled,
+                feed: true,
+                more: false,
+                retry_after: None,
+                datagram: Bytes::new(),
+            };
+            let from = server.address;
+            let answered = Event::Answer {
+                from,
+                attempt,
+                answer,
+            };
+            asked.extend(self.tell(answered));
+        }
+        asked
+    }
+
+    fn open(&mut self, number: u8) {
+        self.tell(Event::Request {
+            request: Request {
+                flow: Flow {
+                    service: self.service.id.clone(),
+                    caller: endpoint(12, number),
+                },
+                id: Id(number.into()),
+                token: Token(number.into()),
+                kind: Kind::Open,
+                confirmable: false,
+                part: false,
+                datagram: Bytes::new(),
+            },
+            hops: 0,
+        });
+    }
+
+    /// Lets time pass while these servers' health is fine.
+    fn pass(&mut self, healthy: &[usize], time: Duration) -> Vec<String> {
+        const STEP: Duration = Duration::from_millis(100);
+        let end = self.now + time;
+        let mut asked = Vec::new();
+        while self.now < end {
+            self.now += STEP;
+            for &server in healthy {
+                self.service.servers[server].confirm(self.now, CONFIRM_FOR);
+            }
+            asked.extend(self.tell(Event::Tick));
+        }
+        asked
+    }
+
+    fn feeds(&self) -> Vec<u32> {
+        let servers = self.service.servers.iter();
+        servers.map(|server| server.state().feeds).collect()
+    }
+}
+
+/// Sixty feeds at one server, then a second one starts.
+fn uneven(balance_weight: u32) -> Home {
+    const FEEDS: u8 = 60;
+    let profile = Profile {
+        balance_weight,
+        feed_silence_s: 600,
+        ..profile(Policy::LeastLoaded)
+    };
+    let servers = vec![server(1, "bole"), server(2, "bole")];
+    let mut home = Home::new(profile, servers);
+    home.pass(&[0], Duration::from_secs(1));
+    for number in 0..FEEDS {
+        home.open(number);
+    }
+    home
+}
+
+/// Boards freeze at a crowded server while one that came back stands empty:
+/// feeds last all day, so that new ones alone never even the load out. The weight
+/// says how uneven is too uneven; at a low one no feed is touched.
+#[test]
+fn moves_feeds_as_the_weight_says() {
+    let both = [0, 1];
+    let mut naukluft = uneven(90);
+    naukluft.pass(&both, Duration::from_secs(20));
+    let feeds = naukluft.feeds();
+    assert_eq!(feeds.iter().sum::<u32>(), 60);
+    assert!(feeds[0] <= 42, "{feeds:?}");
+    let mut abay = uneven(10);
+    assert!(abay.pass(&both, Duration::from_secs(20)).is_empty());
+    assert_eq!(abay.feeds(), [60, 0]);
+}
