Move feeds at once from servers that are gone

Cause: only leaving servers were swept; the feeds of one that died or was replaced stood still until the profile's limit of silence (30 s by default). Ruled out: a shorter limit of silence, which would register healthy quiet feeds again and again. Change: a server whose proof ran out 1.5 s ago, or whose health names another service, has its feeds registered elsewhere; answers to registrations prove or cast doubt like those to requests.

--- a/examples/policy/rounds.rs
+++ b/examples/policy/rounds.rs
@@ -466,6 +466,11 @@
             },
         );
     }
+    let idle = Plan {
+        faults: vec![silent(15)],
+        ..abay(0.005)
+    };
+    show("health of all down, 0.5 % load", &columns, &idle);
 }
 
 const FEEDS: [Column; 6] = [
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,6 +7,7 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -28,6 +29,10 @@
 /// only ones used, in percent.
 const LEAST_CONFIRMED_PERCENT: usize = 50;
 
+/// How long after its last proof ran out a server is taken to be gone, so that one
+/// lost health answer moves no feeds.
+const GONE_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Feeds above a server's share that are never worth a move.
 const LEAST_SURPLUS: f64 = 8.0;
 
@@ -40,6 +45,13 @@
     pub share: f64,
 }
 
+/// Whether a server has died or was replaced, so that its feeds are silent for good.
+pub fn is_gone(service: &Service, server: &Server, now: Instant) -> bool {
+    let confirmed = server.state().confirmed_until;
+    let over = confirmed.is_none_or(|until| now >= until + GONE_AFTER);
+    over && !may_return(service, server, now)
+}
+
 /// Servers whose feeds are uneven enough to move some.
 ///
 /// A weight of `w` lets a server keep `(100 - w) / w` of its fair share on top of
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -25,7 +25,7 @@
         self.release_feeds(now);
         if self.swept.is_none_or(|swept| now >= swept + SWEEP_EVERY) {
             self.swept = Some(now);
-            self.vacate();
+            self.vacate(now);
         }
         self.rebalance(now);
         self.move_feeds(now);
--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -531,12 +531,14 @@
         }
     }
 
-    /// Finds feeds whose server has begun to leave.
-    pub(super) fn vacate(&mut self) {
+    /// Finds feeds whose server has begun to leave or is gone: left alone, these
+    /// would stand still until the profile's limit of silence.
+    pub(super) fn vacate(&mut self, now: Instant) {
         let mut leaving = Vec::new();
         for service in self.snapshot.services.values() {
             for server in &service.servers {
-                let away = server.state().is_leaving();
+                let leaves = server.state().is_leaving();
+                let away = leaves || balance::is_gone(service, server, now);
                 if !away {
                     self.vacated.remove(&server.id);
                 } else if self.vacated.insert(server.id.clone()) {
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -259,6 +259,11 @@
             return;
         };
         let slice = sending.slice;
+        match answer.verdict {
+            Verdict::Handled => sending.server.prove(sending.since),
+            Verdict::NotFound => sending.server.doubt(now),
+            Verdict::Refused => {}
+        }
         match sending.purpose.clone() {
             Purpose::Request(key) => self.request_answer(now, slice, &key, attempt, answer),
             Purpose::Feed(key) => self.feed_answer(now, slice, &key, attempt, answer),
@@ -331,11 +336,6 @@
             return;
         };
         sending.server.state().failures = 0;
-        if answer.verdict == Verdict::NotFound {
-            sending.server.doubt(now);
-        } else {
-            sending.server.prove(sending.since);
-        }
         let Some(record) = self.record(slice, key) else {
             return;
         };
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -325,3 +325,13 @@
     assert!(abay.pass(&both, Duration::from_secs(20)).is_empty());
     assert_eq!(abay.feeds(), [60, 0]);
 }
+
+/// A driver's feed stands still for as long as the profile allows silence: its
+/// server died, health is silent, and nothing says that it leaves. Registered
+/// elsewhere soon, the feed goes on before the driver notices.
+#[test]
+fn moves_feeds_from_a_server_that_is_gone() {
+    let mut home = uneven(0);
+    home.pass(&[1], Duration::from_secs(5));
+    assert_eq!(home.feeds(), [0, 60]);
+}
