--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -241,6 +241,7 @@
         leaving: false,
         digest: 0x0123_4567_89ab_cdef,
         loads: Some((0..loads as u32).map(load).collect()),
+        trimmed: false,
     }
 }
 
--- a/examples/utils/fixture.rs
+++ b/examples/utils/fixture.rs
@@ -236,7 +236,7 @@
                 token: Token(4 << 64 | 0x0102_0304),
                 kind,
                 confirmable: true,
-                part: false,
+                part: godwitreel::request::Part::default(),
                 datagram: Bytes::copy_from_slice(datagram),
             },
             hops: 0,
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod inbound;
 mod outbound;
+mod rebalance;
 mod replica;
 
 use std::cmp::Reverse;
@@ -104,6 +105,7 @@
     ticked: Option<Instant>,
     /// After a long pause: until when waiting datagrams are being read.
     catching_up_until: Option<Instant>,
+    rebalanced: Option<Instant>,
     records: usize,
     feeds: usize,
     next_attempt: u64,
@@ -137,6 +139,7 @@
             swept: None,
             ticked: None,
             catching_up_until: None,
+            rebalanced: None,
             records: 0,
             feeds: 0,
             next_attempt: start & mask,
--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -138,7 +138,7 @@
         let server = Arc::clone(&sending.server);
         let earlier = self.remove_feed(slice, &key);
         let sequence = earlier.map_or(1, |feed| feed.sequence + 1) & SEQUENCE_MASK;
-        self.insert_sending(slice, &key, attempt, &server);
+        self.insert_sending(now, slice, &key, attempt, &server);
         let feed = Feed {
             datagram: datagram.as_ref().into(),
             server: server.id.clone(),
@@ -167,6 +167,7 @@
 
     fn insert_sending(
         &mut self,
+        now: Instant,
         slice: id::Slice,
         key: &FeedKey,
         attempt: id::Attempt,
@@ -179,6 +180,7 @@
                 slice,
                 purpose: Purpose::Feed(key.clone()),
                 server: Arc::clone(server),
+                since: now,
             },
         );
     }
@@ -442,7 +444,7 @@
             return;
         };
         let attempt = self.new_attempt();
-        self.insert_sending(slice, key, attempt, &server);
+        self.insert_sending(now, slice, key, attempt, &server);
         if let Some(feed) = self.feed(slice, key) {
             feed.renewal = Some(Box::new(Renewal {
                 attempt,
@@ -570,12 +572,14 @@
         }
     }
 
-    /// Finds feeds whose server has begun to leave.
-    pub(super) fn vacate(&mut self) {
+    /// Finds feeds whose server has begun to leave or is gone: left alone, these
+    /// would stand still until the profile's limit of silence.
+    pub(super) fn vacate(&mut self, now: Instant) {
         let mut leaving = Vec::new();
         for service in self.snapshot.services.values() {
             for server in &service.servers {
-                let away = server.state().is_leaving();
+                let leaves = server.state().is_leaving();
+                let away = leaves || balance::is_gone(service, server, now);
                 if !away {
                     self.vacated.remove(&server.id);
                 } else if self.vacated.insert(server.id.clone()) {
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -155,7 +155,8 @@
     ) -> Option<Arc<Server>> {
         let pin = self.pin(slice, key)?;
         let server = service.server(&pin.server)?;
-        let usable = now < pin.used + PIN_TIME && server.state().is_confirmed(now);
+        let fresh = now < pin.used + PIN_TIME;
+        let usable = fresh && balance::may_return(service, server, now);
         usable.then(|| Arc::clone(server))
     }
 
@@ -227,6 +228,7 @@
                 slice,
                 purpose: Purpose::Request(key.clone()),
                 server: Arc::clone(&server),
+                since: now,
             },
         );
         self.note_forwarded(slice, key, &server);
@@ -318,6 +320,11 @@
             return;
         };
         let slice = sending.slice;
+        match answer.verdict {
+            Verdict::Handled => sending.server.prove(sending.since),
+            Verdict::NotFound => sending.server.doubt(now),
+            Verdict::Refused => {}
+        }
         match sending.purpose.clone() {
             Purpose::Request(key) => self.request_answer(now, slice, &key, attempt, answer),
             Purpose::Feed(key) => self.feed_answer(now, slice, &key, attempt, answer),
@@ -334,7 +341,7 @@
     ) {
         match answer.verdict {
             Verdict::Refused => self.refused(now, slice, key, attempt, &answer),
-            Verdict::Handled => self.handled(now, slice, key, attempt, answer),
+            Verdict::Handled | Verdict::NotFound => self.handled(now, slice, key, attempt, answer),
         }
     }
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -213,6 +213,7 @@
     pub(crate) slice: id::Slice,
     pub(crate) purpose: Purpose,
     pub(crate) server: Arc<Server>,
+    pub(crate) since: Instant,
 }
 
 /// A request on its way to whoever decides for it.
