--- a/tests/lab/mod.rs
+++ b/tests/lab/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub(crate) mod pair;
+
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
--- /dev/null
+++ b/tests/lab/pair.rs
@@ -0,0 +1,172 @@
+//! A home and its backup.
+
+use std::sync::Arc;
+
+use godwitreel::action::Action;
+use godwitreel::document::Profile;
+use godwitreel::engine::Engine;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::peer::Body;
+use godwitreel::peer::Item;
+use godwitreel::request::Answer;
+use godwitreel::request::Kind;
+use godwitreel::server::Server;
+use godwitreel::table::Row;
+use tokio::time::Instant;
+
+use super::bodies;
+use super::deliver;
+use super::holder;
+use super::request;
+use super::row;
+use super::table;
+use super::view;
+
+/// A home and its backup with one slice.
+pub(crate) struct Pair {
+    pub(crate) now: Instant,
+    pub(crate) home: Engine,
+    pub(crate) backup: Engine,
+    pub(crate) a: id::Holder,
+    pub(crate) b: id::Holder,
+    pub(crate) servers: Vec<Arc<Server>>,
+}
+
+impl Pair {
+    pub(crate) fn new(row: Row) -> Self {
+        let now = Instant::now();
+        let (a, b) = (holder("a", 1), holder("b", 1));
+        let names = ["d1", "d2", "d3"];
+        let server = |(port, name): (u16, &str)| super::server(now, name, "dispatch", port);
+        let servers = (1..).zip(names).map(server).collect();
+        let mut pair = Self {
+            now,
+            home: Engine::new(super::settings(&a, 0, 1)),
+            backup: Engine::new(super::settings(&b, 0, 1)),
+            a,
+            b,
+            servers,
+        };
+        pair.configure(&Profile::default());
+        pair.install(row);
+        pair
+    }
+
+    pub(crate) fn joined() -> Self {
+        let (a, b) = (holder("a", 1), holder("b", 1));
+        Self::new(row(1, Some(&a), Some(&b)))
+    }
+
+    pub(crate) fn configure(&mut self, profile: &Profile) {
+        let service = super::service("dispatch", profile, self.servers.clone());
+        let snapshot = Event::Snapshot(super::snapshot(vec![service]));
+        let view = view(&[&self.a, &self.b], self.now + super::FOREVER);
+        for engine in [&mut self.home, &mut self.backup] {
+            engine.handle(self.now, snapshot.clone());
+            engine.handle(self.now, view.clone());
+        }
+    }
+
+    pub(crate) fn install(&mut self, row: Row) -> Vec<Action> {
+        let mut actions = self.home.handle(self.now, table(row.clone()));
+        actions.extend(self.backup.handle(self.now, table(row)));
+        actions
+    }
+
+    pub(crate) fn book(&mut self, number: u64) -> Vec<Action> {
+        let request = request(&super::flow("dispatch", 1), number, Kind::Once);
+        self.home
+            .handle(self.now, Event::Request { request, hops: 0 })
+    }
+
+    pub(crate) fn to_backup(&mut self, actions: &[Action]) -> Vec<Action> {
+        deliver(self.now, &self.a, actions, &self.b, &mut self.backup)
+    }
+
+    pub(crate) fn to_home(&mut self, actions: &[Action]) -> Vec<Action> {
+        deliver(self.now, &self.b, actions, &self.a, &mut self.home)
+    }
+
+    pub(crate) fn join(&mut self) -> Vec<Action> {
+        let event = Event::Join {
+            slices: vec![id::Slice(0)],
+            backup: self.b.clone(),
+        };
+        self.home.handle(self.now, event)
+    }
+
+    /// One more request of any kind, to the home.
+    pub(crate) fn ask(&mut self, number: u64, kind: Kind) -> Vec<Action> {
+        let request = request(&super::flow("dispatch", 1), number, kind);
+        self.home
+            .handle(self.now, Event::Request { request, hops: 0 })
+    }
+
+    /// A request that is relayed to the backup.
+    pub(crate) fn ask_backup(&mut self, number: u64, kind: Kind) -> Vec<Action> {
+        let request = request(&super::flow("dispatch", 1), number, kind);
+        self.backup
+            .handle(self.now, Event::Request { request, hops: 1 })
+    }
+
+    /// Books and lets the backup acknowledge.
+    pub(crate) fn book_through(&mut self, number: u64) -> Vec<Action> {
+        let asked = self.book(number);
+        let kept = self.to_backup(&asked);
+        self.to_home(&kept)
+    }
+
+    /// A server's answer to one forwarding of the home.
+    pub(crate) fn answer(
+        &mut self,
+        (server, attempt): &(Arc<Server>, id::Attempt),
+        answer: Answer,
+    ) -> Vec<Action> {
+        let event = Event::Answer {
+            from: server.address,
+            attempt: *attempt,
+            answer,
+        };
+        self.home.handle(self.now, event)
+    }
+
+    /// The same for the backup.
+    pub(crate) fn answer_backup(
+        &mut self,
+        (server, attempt): &(Arc<Server>, id::Attempt),
+        answer: Answer,
+    ) -> Vec<Action> {
+        let event = Event::Answer {
+            from: server.address,
+            attempt: *attempt,
+            answer,
+        };
+        self.backup.handle(self.now, event)
+    }
+
+    /// Ticks both on to a time.
+    pub(crate) fn run(&mut self, length: std::time::Duration) -> (Vec<Action>, Vec<Action>) {
+        const STEP: std::time::Duration = std::time::Duration::from_millis(100);
+        let (mut home, mut backup) = (Vec::new(), Vec::new());
+        let until = self.now + length;
+        while self.now < until {
+            self.now += STEP;
+            home.extend(self.home.handle(self.now, Event::Tick));
+            backup.extend(self.backup.handle(self.now, Event::Tick));
+        }
+        (home, backup)
+    }
+}
+
+pub(crate) fn steps(actions: &[Action]) -> Vec<Item> {
+    let step = |(_, body): (id::Holder, Body)| match body {
+        Body::Replicate(step) => step.item,
+        _ => None,
+    };
+    bodies(actions).into_iter().filter_map(step).collect()
+}
+
+pub(crate) fn is_claim(item: &Item) -> bool {
+    matches!(item, Item::Claim(_))
+}
