--- /dev/null
+++ b/tests/decoders.rs
@@ -0,0 +1,441 @@
+//! Whatever arrives from outside, decoders and engine neither panic nor miscount.
+
+mod lab;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use godwitreel::codec;
+use godwitreel::document::Profile;
+use godwitreel::engine::Engine;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::peer;
+use godwitreel::peer::Body;
+use godwitreel::peer::Item;
+use godwitreel::request::Answer;
+use godwitreel::request::Id;
+use godwitreel::request::Kind;
+use godwitreel::request::Receipt;
+use godwitreel::request::Token;
+use godwitreel::request::Verdict;
+use godwitreel::server::Server;
+use godwitreel::table::Table;
+use godwitreel::wire;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use tokio::time::Instant;
+
+use crate::lab::forwards;
+use crate::lab::holder;
+use crate::lab::ms;
+use crate::lab::row;
+use crate::lab::secs;
+
+/// The same cases in each run.
+fn config(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(0x90d),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn keys(key: &[u8]) -> wire::Keys {
+    wire::Keys::new([key]).expect("a usable key")
+}
+
+fn sealed(keys: &wire::Keys, to: &str, sequence: u64) -> Vec<u8> {
+    let envelope = wire::Envelope {
+        from: holder("a", 1).to_string(),
+        to: to.to_owned(),
+        sequence,
+        body: Some(Body::Yield(peer::Yield { slices: vec![1, 2] })),
+    };
+    wire::seal(keys, &envelope)
+}
+
+fn me() -> id::Instance {
+    "b".parse().expect("a legal name")
+}
+
+proptest! {
+    #![proptest_config(config(2_000))]
+
+    #[test]
+    fn no_bytes_break_a_decoder(bytes in vec(any::<u8>(), 0..200)) {
+        let datagram = Bytes::from(bytes.clone());
+        let _ = codec::read_caller(&lab::flow("dispatch", 1), &datagram);
+        let _ = codec::read_server(lab::endpoint(2, 1), &datagram);
+        let _ = wire::open(&keys(b"key"), &me(), "peer", &bytes);
+        let _ = codec::message_number(&bytes);
+    }
+
+    #[test]
+    fn no_signed_bytes_break_a_decoder(bytes in vec(any::<u8>(), 0..200)) {
+        // The MAC is right and the content is anything, as from a peer of another
+        // version.
+        let envelope = wire::Envelope {
+            from: String::from_utf8_lossy(&bytes).into_owned(),
+            to: String::new(),
+            sequence: u64::MAX,
+            body: Some(Body::Settle(peer::Settle {
+                slice: u32::MAX,
+                flow: Some(peer::WireFlow { service: String::new(), caller: bytes.clone() }),
+                id: bytes.clone(),
+                token: bytes.clone(),
+                answer: Bytes::from(bytes.clone()),
+            })),
+        };
+        let frame = wire::seal(&keys(b"key"), &envelope);
+        let _ = wire::open(&keys(b"key"), &me(), "peer", &frame);
+        let _ = peer::unpack_number(&bytes);
+    }
+
+    #[test]
+    fn requests_that_can_be_read_can_be_written(bytes in vec(any::<u8>(), 4..80)) {
+        let mut bytes = bytes;
+        // Version 1, no token, a request method: most of these can be read.
+        bytes[0] = 0x40;
+        bytes[1] = 1 + bytes[1] % 7;
+        let datagram = Bytes::from(bytes);
+        if codec::read_caller(&lab::flow("dispatch", 1), &datagram).is_ok() {
+            let service = "dispatch".parse().expect("a legal name");
+            let _ = codec::write_forward(&datagram, &service, id::Attempt(1), 2, secs(1));
+            let _ = codec::write_notification(Token(3), 4, 5, true, Some(&datagram));
+        }
+    }
+
+    #[test]
+    fn a_changed_frame_is_refused(place in any::<prop::sample::Index>(), bit in 0..8u8) {
+        let mut frame = sealed(&keys(b"key"), "b", 1);
+        let place = place.index(frame.len());
+        frame[place] ^= 1 << bit;
+        prop_assert!(wire::open(&keys(b"key"), &me(), "peer", &frame).is_err());
+    }
+}
+
+/// Frames with another key, for another instance, or cut short are refused.
+#[test]
+fn frames_that_are_not_ours_are_refused() {
+    let frame = sealed(&keys(b"key"), "b", 1);
+    assert!(wire::open(&keys(b"key"), &me(), "peer", &frame).is_ok());
+    assert!(wire::open(&keys(b"other"), &me(), "peer", &frame).is_err());
+    let elsewhere = sealed(&keys(b"key"), "c", 1);
+    assert!(wire::open(&keys(b"key"), &me(), "peer", &elsewhere).is_err());
+    for length in 0..frame.len() {
+        assert!(wire::open(&keys(b"key"), &me(), "peer", &frame[..length]).is_err());
+    }
+}
+
+/// A frame is taken once; frames of an earlier life, and those too far behind, are
+/// not taken at all.
+#[test]
+fn replayed_frames_are_refused() {
+    let mut guard = wire::Guard::default();
+    let life = holder("a", 2);
+    assert!(guard.admit(&life, 5));
+    assert!(!guard.admit(&life, 5));
+    assert!(guard.admit(&life, 4));
+    assert!(!guard.admit(&life, 4));
+    assert!(!guard.admit(&holder("a", 1), 9));
+    assert!(guard.admit(&life, 100_000));
+    assert!(!guard.admit(&life, 6));
+    assert!(guard.admit(&holder("a", 3), 5));
+    assert!(!guard.admit(&life, 100_001));
+}
+
+/// One step of a random history at one engine.
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u16, u8, u8),
+    Receipt(u16, u16, bool),
+    Answer(usize, u8),
+    Strange(u64),
+    Replicate(u8, u64, u8, u16),
+    Replicated(u64),
+    Settle(u16, bool),
+    Adopt(u16, u32),
+    Rows(u64, u8),
+    View(u8),
+    Join,
+    Abandon,
+    Servers(u8),
+    Pass(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..8u16, 0..6u8, 0..4u8).prop_map(|(c, n, k)| Step::Ask(c, n, k)),
+        1 => (0..8u16, any::<u16>(), any::<bool>()).prop_map(|(c, m, r)| Step::Receipt(c, m, r)),
+        8 => (any::<usize>(), 0..5u8).prop_map(|(w, k)| Step::Answer(w, k)),
+        1 => any::<u64>().prop_map(Step::Strange),
+        3 => (0..3u8, 0..6u64, 0..4u8, 0..8u16)
+            .prop_map(|(f, e, k, c)| Step::Replicate(f, e, k, c)),
+        3 => (0..64u64).prop_map(Step::Replicated),
+        1 => (0..8u16, any::<bool>()).prop_map(|(c, e)| Step::Settle(c, e)),
+        1 => (0..8u16, any::<u32>()).prop_map(|(c, s)| Step::Adopt(c, s)),
+        2 => (1..3u64, 0..6u8).prop_map(|(e, k)| Step::Rows(e, k)),
+        2 => (0..8u8).prop_map(Step::View),
+        1 => Just(Step::Join),
+        1 => Just(Step::Abandon),
+        1 => any::<u8>().prop_map(Step::Servers),
+        6 => (1..3_000u16).prop_map(Step::Pass),
+    ]
+}
+
+struct Subject {
+    now: Instant,
+    engine: Engine,
+    table: Table,
+    servers: Vec<Arc<Server>>,
+    sent: Vec<(Arc<Server>, id::Attempt)>,
+    holders: [id::Holder; 3],
+    opened: usize,
+}
+
+const SLICES: u32 = 4;
+
+impl Subject {
+    fn new() -> Self {
+        let now = Instant::now();
+        let holders = [holder("a", 1), holder("b", 1), holder("c", 1)];
+        let servers: Vec<_> = (1..4u16)
+            .map(|n| lab::server(now, &format!("d{n}"), "dispatch", n))
+            .collect();
+        let mut engine = Engine::new(lab::settings(&holders[0], 0, 1));
+        let profile = Profile {
+            max_per_caller: 4,
+            copy_lifetime_s: 5,
+            ..Profile::default()
+        };
+        let service = lab::service("dispatch", &profile, servers.clone());
+        engine.handle(now, Event::Snapshot(lab::snapshot(vec![service])));
+        let mut subject = Self {
+            now,
+            engine,
+            table: Table::new(SLICES),
+            servers,
+            sent: Vec::new(),
+            holders,
+            opened: 0,
+        };
+        subject.take(Step::View(7));
+        subject.take(Step::Rows(1, 0));
+        subject
+    }
+
+    fn flow(caller: u16) -> godwitreel::request::Flow {
+        lab::flow("dispatch", 1 + caller)
+    }
+
+    fn event(&mut self, step: Step) -> Event {
+        let peer = |from: &id::Holder, body| Event::Peer {
+            from: from.clone(),
+            body,
+        };
+        match step {
+            Step::Ask(caller, number, kind) => {
+                let kinds = [Kind::Once, Kind::Idempotent, Kind::Open, Kind::Close];
+                let kind = kinds[usize::from(kind)];
+                self.opened += 1;
+                let request = lab::request(&Self::flow(caller), number.into(), kind);
+                Event::Request { request, hops: 0 }
+            }
+            Step::Receipt(caller, message, is_rejection) => Event::Receipt {
+                flow: Self::flow(caller),
+                message,
+                receipt: match is_rejection {
+                    true => Receipt::Rejected,
+                    false => Receipt::Acknowledged,
+                },
+                hops: 0,
+                datagram: Bytes::new(),
+            },
+            Step::Answer(which, kind) if !self.sent.is_empty() => {
+                let (server, attempt) = &self.sent[which % self.sent.len()];
+                Event::Answer {
+                    from: server.address,
+                    attempt: *attempt,
+                    answer: Answer {
+                        verdict: match kind {
+                            0 => Verdict::Refused,
+                            _ => Verdict::Handled,
+                        },
+                        feed: kind > 2,
+                        more: kind == 2,
+                        ..lab::answer("x")
+                    },
+                }
+            }
+            Step::Answer(..) => Event::Tick,
+            Step::Strange(attempt) => Event::Answer {
+                from: lab::endpoint(2, 1),
+                attempt: id::Attempt(attempt),
+                answer: lab::notification("x"),
+            },
+            Step::Replicate(from, epoch, kind, caller) => {
+                let from = self.holders[usize::from(from)].clone();
+                peer(&from, replicate(epoch, kind, &Self::flow(caller)))
+            }
+            Step::Replicated(number) => {
+                let first = self.holders[0].incarnation.0 << 8;
+                let message = peer::Replicated {
+                    slice: (number % u64::from(SLICES)) as u32,
+                    epoch: 1,
+                    number: first + number,
+                };
+                peer(&self.holders[1], Body::Replicated(message))
+            }
+            Step::Settle(caller, is_empty) => {
+                let message = peer::Settle {
+                    slice: self.table.slice(lab::HASH_KEY, &Self::flow(caller)).0,
+                    flow: Some(peer::pack_flow(&Self::flow(caller))),
+                    id: peer::pack_number(1),
+                    token: peer::pack_number(1),
+                    answer: Bytes::from_static(if is_empty { b"" } else { b"x" }),
+                };
+                peer(&self.holders[1], Body::Settle(message))
+            }
+            Step::Adopt(caller, sequence) => {
+                let message = peer::Adopt {
+                    slice: self.table.slice(lab::HASH_KEY, &Self::flow(caller)).0,
+                    feed: Some(feed(&Self::flow(caller), sequence)),
+                };
+                peer(&self.holders[1], Body::Adopt(message))
+            }
+            Step::Rows(raise, kind) => self.rows(raise, kind),
+            Step::View(mask) => {
+                let live = self.holders.iter().enumerate();
+                let live: Vec<&id::Holder> = live
+                    .filter(|(n, _)| *n == 0 || mask & (1 << n) != 0)
+                    .map(|(_, holder)| holder)
+                    .collect();
+                let until = match mask & 1 {
+                    0 => self.now,
+                    _ => self.now + lab::FOREVER,
+                };
+                lab::view(&live, until)
+            }
+            Step::Join => Event::Join {
+                slices: (0..SLICES).map(id::Slice).collect(),
+                backup: self.holders[1].clone(),
+            },
+            Step::Abandon => Event::Abandon((0..SLICES).map(id::Slice).collect()),
+            Step::Servers(mask) => {
+                for (n, server) in self.servers.iter().enumerate() {
+                    server.state().draining = mask & (1 << n) != 0;
+                }
+                Event::Tick
+            }
+            Step::Pass(length) => {
+                self.now += ms(length.into());
+                Event::Tick
+            }
+        }
+    }
+
+    fn rows(&mut self, raise: u64, kind: u8) -> Event {
+        let [a, b, c] = &self.holders;
+        let choices = [
+            (Some(a), None),
+            (Some(a), Some(b)),
+            (Some(b), Some(a)),
+            (Some(b), Some(c)),
+            (Some(c), None),
+            (Some(c), Some(a)),
+        ];
+        let (home, backup) = choices[usize::from(kind)];
+        for slice in 0..SLICES {
+            let slice = id::Slice(slice);
+            let epoch = self.table.row(slice).epoch.0 + raise;
+            let mut row = row(epoch, home, backup);
+            row.blank = raise > 1;
+            self.table.advance(slice, row);
+        }
+        Event::Table(Arc::new(self.table.clone()))
+    }
+
+    fn take(&mut self, step: Step) {
+        let event = self.event(step);
+        let actions = self.engine.handle(self.now, event);
+        self.sent.extend(forwards(&actions));
+    }
+
+    fn outstanding(&self) -> u32 {
+        let servers = self.servers.iter();
+        servers.map(|server| server.state().outstanding).sum()
+    }
+
+    fn registered(&self) -> usize {
+        let servers = self.servers.iter();
+        servers.map(|server| server.state().feeds as usize).sum()
+    }
+}
+
+fn feed(flow: &godwitreel::request::Flow, sequence: u32) -> peer::Feed {
+    peer::Feed {
+        flow: Some(peer::pack_flow(flow)),
+        token: peer::pack_number(1),
+        server: "d1".to_owned(),
+        datagram: Bytes::from_static(b"x"),
+        sequence,
+    }
+}
+
+fn replicate(epoch: u64, kind: u8, flow: &godwitreel::request::Flow) -> Body {
+    let item = match kind {
+        0 => Item::Begin(peer::Begin {}),
+        1 => Item::Claim(peer::Claim {
+            flow: Some(peer::pack_flow(flow)),
+            id: peer::pack_number(Id(1).0),
+        }),
+        2 => Item::Feed(feed(flow, 7)),
+        _ => Item::FeedEnd(peer::FeedEnd {
+            flow: Some(peer::pack_flow(flow)),
+            token: peer::pack_number(1),
+        }),
+    };
+    Body::Replicate(peer::Replicate {
+        slice: Table::new(SLICES).slice(lab::HASH_KEY, flow).0,
+        epoch,
+        number: epoch,
+        item: Some(item),
+    })
+}
+
+proptest! {
+    #![proptest_config(config(300))]
+
+    #[test]
+    fn counts_return_to_zero_after_any_events(steps in vec(step(), 1..120)) {
+        let mut subject = Subject::new();
+        for step in steps {
+            subject.take(step);
+            prop_assert!(subject.engine.parked() <= subject.opened);
+            prop_assert!(subject.registered() <= subject.engine.feeds() * 2);
+            // Each request sets up to six timers in its life, each feed a few more.
+            prop_assert!(subject.engine.timers() <= 16 * (subject.opened + 8) + 200);
+        }
+        // Everything ends: no request stays open and no place at a server taken.
+        for _ in 0..600 {
+            subject.take(Step::Pass(100));
+        }
+        prop_assert_eq!(subject.engine.in_progress(), 0);
+        prop_assert_eq!(subject.engine.parked(), 0);
+        prop_assert_eq!(subject.engine.records(), 0);
+        prop_assert_eq!(subject.outstanding(), 0);
+        prop_assert!(subject.registered() <= subject.engine.feeds() * 2);
+        // Without servers no feed that is looked after here stays, and with a new
+        // life of the slice elsewhere no registration does.
+        subject.take(Step::Rows(1, 4));
+        subject.take(Step::View(7));
+        for _ in 0..100 {
+            subject.take(Step::Pass(100));
+        }
+        prop_assert_eq!(subject.registered(), 0);
+    }
+}
--- /dev/null
+++ b/tests/feed.rs
@@ -0,0 +1,479 @@
+//! Feeds: what the caller sees when servers and homes change.
+
+mod lab;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use godwitreel::action::Action;
+use godwitreel::document::Profile;
+use godwitreel::document::State;
+use godwitreel::engine::Engine;
+use godwitreel::event::Event;
+use godwitreel::id;
+use godwitreel::peer::Body;
+use godwitreel::peer::Item;
+use godwitreel::reason::Reason;
+use godwitreel::request::Answer;
+use godwitreel::request::Kind;
+use godwitreel::request::Receipt;
+use godwitreel::request::Verdict;
+use godwitreel::server::Server;
+use tokio::time::Instant;
+
+use crate::lab::bodies;
+use crate::lab::deliver;
+use crate::lab::forwards;
+use crate::lab::has_reason;
+use crate::lab::holder;
+use crate::lab::ms;
+use crate::lab::notification;
+use crate::lab::pair::Pair;
+use crate::lab::pair::steps;
+use crate::lab::row;
+use crate::lab::secs;
+use crate::lab::sequences;
+use crate::lab::table;
+use crate::lab::view;
+
+/// Longest wait before a registration at a home's own tick.
+const SOON: std::time::Duration = std::time::Duration::from_millis(600);
+
+type Sent = (Arc<Server>, id::Attempt);
+
+/// Opens feed 1 at the home; the backup gets its copy.
+fn open(pair: &mut Pair) -> Sent {
+    let sent = forwards(&pair.ask(1, Kind::Open)).remove(0);
+    let opened = pair.answer(&sent, notification("first"));
+    pair.to_backup(&opened);
+    sent
+}
+
+fn messages(actions: &[Action]) -> Vec<u16> {
+    let message = |action: &Action| match action {
+        Action::Notify { message, .. } => Some(*message),
+        _ => None,
+    };
+    actions.iter().filter_map(message).collect()
+}
+
+fn rejects(actions: &[Action]) -> bool {
+    let reject = |action: &Action| matches!(action, Action::Reject { .. });
+    actions.iter().any(reject)
+}
+
+fn offers(actions: &[Action]) -> usize {
+    let offer = |(_, body): &(id::Holder, Body)| matches!(body, Body::Adopt(_));
+    bodies(actions).iter().filter(|sent| offer(sent)).count()
+}
+
+fn hear(pair: &Pair, engine: u8, live: &[&id::Holder]) -> Event {
+    let _ = engine;
+    view(live, pair.now + lab::FOREVER)
+}
+
+/// Makes the backup believe that the home is gone.
+fn cut(pair: &mut Pair) -> Vec<Action> {
+    let b = pair.b.clone();
+    let event = hear(pair, 1, &[&b]);
+    pair.backup.handle(pair.now, event)
+}
+
+fn heal(pair: &mut Pair) -> Vec<Action> {
+    let (a, b) = (pair.a.clone(), pair.b.clone());
+    let event = hear(pair, 1, &[&a, &b]);
+    pair.backup.handle(pair.now, event)
+}
+
+fn promote(pair: &mut Pair) -> Vec<Action> {
+    let b = pair.b.clone();
+    pair.backup.handle(pair.now, table(row(2, Some(&b), None)))
+}
+
+/// The home of a feed dies. Its backup goes on with numbers that are newer than
+/// all that the caller has seen, though its copy lags behind; the caller would
+/// drop older ones and take the feed for dead.
+#[test]
+fn the_sequence_leaps_when_another_goes_on() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let mut seen = 0;
+    for _ in 0..300 {
+        seen = sequences(&pair.answer(&sent, notification("n")))[0];
+    }
+    promote(&mut pair);
+    let moved = forwards(&pair.run(SOON).1);
+    let first = pair.answer_backup(&moved[0], notification("n"));
+    assert!(sequences(&first)[0] > seen);
+}
+
+/// The same, seen by a caller that drops messages whose numbers it has just seen:
+/// the new home must not use those of the old one again.
+#[test]
+fn message_numbers_do_not_come_again_after_a_takeover() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let mut seen = BTreeSet::new();
+    for _ in 0..300 {
+        seen.extend(messages(&pair.answer(&sent, notification("n"))));
+    }
+    promote(&mut pair);
+    let moved = forwards(&pair.run(SOON).1).remove(0);
+    for _ in 0..300 {
+        let next = messages(&pair.answer_backup(&moved, notification("n")));
+        assert!(seen.insert(next[0]), "number {} again", next[0]);
+    }
+}
+
+/// A feed runs for so long that its copy would lag by more than the leap: the copy
+/// is refreshed before.
+#[test]
+fn the_copy_of_the_sequence_never_lags_by_a_leap() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let mut refreshed = 0;
+    for _ in 0..40_000 {
+        let actions = pair.answer(&sent, notification("n"));
+        refreshed += steps(&actions).len();
+        pair.to_backup(&actions);
+    }
+    assert!(refreshed >= 2);
+    let seen = sequences(&pair.answer(&sent, notification("n")))[0];
+    promote(&mut pair);
+    let moved = forwards(&pair.run(SOON).1);
+    let first = pair.answer_backup(&moved[0], notification("n"));
+    assert!(sequences(&first)[0] > seen);
+}
+
+/// A server drains. The caller sees one unbroken sequence: the old registration is
+/// used until the new one has answered, and only then rejected.
+#[test]
+fn a_move_registers_before_it_drops() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    pair.run(SOON);
+    sent.0.state().draining = true;
+    let renewed = forwards(&pair.run(SOON).0);
+    assert_eq!(renewed.len(), 1, "asked one other server");
+    assert_ne!(renewed[0].0.id, sent.0.id);
+    let still = pair.answer(&sent, notification("old"));
+    assert_eq!(sequences(&still), [2], "the old one still counts");
+    let moved = pair.answer(&renewed[0], notification("new"));
+    assert_eq!(sequences(&moved), [3]);
+    let late = pair.answer(&sent, notification("old"));
+    assert!(sequences(&late).is_empty());
+    assert!(rejects(&late), "the old server goes on for ever");
+    assert_eq!(sent.0.state().feeds, 0);
+}
+
+/// A server's answer to somebody else's attempt, or from another address: the
+/// caller must not get it.
+#[test]
+fn a_notification_counts_only_from_its_own_server() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let other = pair.servers.iter().find(|s| s.id != sent.0.id).cloned();
+    let foreign = (other.expect("three servers"), sent.1);
+    let actions = pair.answer(&foreign, notification("foreign"));
+    assert!(sequences(&actions).is_empty());
+    assert!(has_reason(&actions, Reason::ForeignAnswer));
+    assert!(rejects(&actions));
+}
+
+/// Something between the two ends lost track of the feed: it falls silent for
+/// good. It is registered anew, at its own server first.
+#[test]
+fn a_silent_feed_is_registered_again() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let renewed = forwards(&pair.run(Profile::default().feed_silence() + ms(200)).0);
+    assert_eq!(renewed.len(), 1);
+    assert_eq!(renewed[0].0.id, sent.0.id);
+    let fresh = pair.answer(&renewed[0], notification("n"));
+    assert_eq!(sequences(&fresh), [2]);
+}
+
+/// The server ends the feed with "not now" and another takes it: the caller need
+/// not know.
+#[test]
+fn a_feed_that_a_server_refuses_moves() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let refused = Answer {
+        feed: false,
+        verdict: Verdict::Refused,
+        ..notification("refused")
+    };
+    let moved = pair.answer(&sent, refused);
+    assert!(sequences(&moved).is_empty());
+    assert_ne!(forwards(&moved)[0].0.id, sent.0.id);
+}
+
+/// No server takes the feed: the caller is told so that it opens again, rather
+/// than waiting for ever.
+#[test]
+fn a_feed_without_a_server_is_ended() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    for server in &pair.servers {
+        server.state().listed = State::Leaving;
+    }
+    let silence = Profile::default().feed_silence();
+    let (actions, _) = pair.run(silence * 4);
+    assert!(has_reason(&actions, Reason::FeedLost));
+    assert_eq!(sequences(&actions).len(), 1);
+    assert_eq!(pair.home.feeds(), 0);
+}
+
+/// The caller rejects a notification: it does not want the feed any more, and the
+/// backup must not revive it.
+#[test]
+fn a_rejected_feed_ends_everywhere() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let notified = pair.answer(&sent, notification("n"));
+    let event = Event::Receipt {
+        flow: lab::flow("dispatch", 1),
+        message: messages(&notified)[0],
+        receipt: Receipt::Rejected,
+        hops: 0,
+        datagram: bytes::Bytes::new(),
+    };
+    let ended = pair.home.handle(pair.now, event);
+    pair.to_backup(&ended);
+    assert_eq!((pair.home.feeds(), pair.backup.feeds()), (0, 0));
+}
+
+/// The caller is gone without a word. After enough notifications without a receipt
+/// its feed ends, or feeds of such callers would fill the table.
+#[test]
+fn a_feed_of_a_vanished_caller_ends() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    pair.now += secs(31);
+    for _ in 0..4 {
+        let actions = pair.answer(&sent, notification("n"));
+        assert_eq!(sequences(&actions).len(), 1);
+    }
+    let actions = pair.answer(&sent, notification("n"));
+    assert!(has_reason(&actions, Reason::FeedAbandoned));
+    assert_eq!(pair.home.feeds(), 0);
+}
+
+/// The caller closes a feed that has moved to another home.
+#[test]
+fn a_feed_is_closed_after_a_move() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    promote(&mut pair);
+    let moved = forwards(&pair.run(SOON).1);
+    pair.answer_backup(&moved[0], notification("n"));
+    pair.ask_backup(2, Kind::Open);
+    let mut close = lab::request(&lab::flow("dispatch", 1), 3, Kind::Close);
+    close.token = godwitreel::request::Token(1);
+    let event = Event::Request {
+        request: close,
+        hops: 1,
+    };
+    let closed = pair.backup.handle(pair.now, event);
+    assert!(has_reason(&closed, Reason::FeedClosed));
+    assert_eq!(pair.backup.feeds(), 0);
+}
+
+/// A new copy begins at the backup: feeds from before it are outdated, but what
+/// came with it or after it, perhaps in another order, stays.
+#[test]
+fn a_new_copy_clears_older_feeds_only() {
+    let (a, b) = (holder("a", 1), holder("b", 1));
+    let mut pair = Pair::new(row(1, Some(&a), None));
+    for number in 1..=3 {
+        let sent = forwards(&pair.ask(number, Kind::Open)).remove(0);
+        pair.answer(&sent, notification("first"));
+    }
+    let copy = pair.join();
+    // The first step, which clears, arrives last.
+    let mut reordered = copy.clone();
+    reordered.rotate_left(1);
+    pair.to_backup(&reordered);
+    assert_eq!(pair.backup.feeds(), 3);
+    pair.home
+        .handle(pair.now, Event::Abandon(vec![id::Slice(0)]));
+    pair.ask(9, Kind::Idempotent);
+    let mut close = lab::request(&lab::flow("dispatch", 1), 10, Kind::Close);
+    close.token = godwitreel::request::Token(1);
+    let event = Event::Request {
+        request: close,
+        hops: 0,
+    };
+    pair.home.handle(pair.now, event);
+    let copy = pair.join();
+    deliver(pair.now, &a, &copy, &b, &mut pair.backup);
+    assert_eq!(pair.backup.feeds(), 2, "a closed feed is kept");
+}
+
+/// Home and backup cannot hear each other, and both reach the caller. The backup
+/// gave out newer numbers; when they hear each other again, the home's go beyond
+/// them, or the caller would drop all that comes from it.
+#[test]
+fn a_home_that_was_cut_off_goes_beyond_its_backups_sequence() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    cut(&mut pair);
+    let taken = forwards(&pair.run(SOON).1);
+    let seen = sequences(&pair.answer_backup(&taken[0], notification("n")))[0];
+    let offered = heal(&mut pair);
+    assert_eq!(offers(&offered), 1);
+    pair.to_home(&offered);
+    let next = sequences(&pair.answer(&sent, notification("n")))[0];
+    assert!(next > seen);
+    pair.to_home(&offered);
+    let after = sequences(&pair.answer(&sent, notification("n")))[0];
+    assert_eq!(after, next + 1, "an offer that comes twice counts once");
+}
+
+/// The offer of a feed to its home is lost: it comes again until the feed is
+/// released here, and until then notifications go on.
+#[test]
+fn a_feed_is_offered_until_it_is_released() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    cut(&mut pair);
+    let taken = forwards(&pair.run(SOON).1);
+    pair.answer_backup(&taken[0], notification("n"));
+    assert_eq!(offers(&heal(&mut pair)), 1);
+    let (_, again) = pair.run(ms(1_800));
+    assert!(offers(&again) >= 2);
+    let kept = pair.answer_backup(&taken[0], notification("n"));
+    assert_eq!(sequences(&kept).len(), 1, "released before the home has it");
+    pair.run(ms(500));
+    let late = pair.answer_backup(&taken[0], notification("n"));
+    assert!(rejects(&late));
+    assert_eq!(pair.backup.feeds(), 1, "the copy stays at the backup");
+}
+
+/// The home is heard again for a moment only: the feeds that were about to be
+/// returned stay here, and their silence is still noticed.
+#[test]
+fn a_feed_stays_when_its_home_is_gone_again() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    cut(&mut pair);
+    let taken = forwards(&pair.run(SOON).1);
+    pair.answer_backup(&taken[0], notification("n"));
+    pair.run(Profile::default().feed_silence() - ms(500));
+    heal(&mut pair);
+    pair.run(secs(1));
+    cut(&mut pair);
+    let renewed = forwards(&pair.run(Profile::default().feed_silence() + secs(1)).1);
+    assert!(!renewed.is_empty(), "nobody looks after it");
+}
+
+/// A feed is opened while its slice moves: the server answers the old home. The
+/// new one is told, since it gets the caller's receipts and nobody looks after
+/// the feed at the old one.
+#[test]
+fn a_feed_opened_during_a_move_goes_to_the_new_home() {
+    let mut pair = Pair::joined();
+    let sent = forwards(&pair.ask(1, Kind::Open)).remove(0);
+    let b = pair.b.clone();
+    pair.install(row(2, Some(&b), None));
+    let opened = pair.answer(&sent, notification("first"));
+    assert_eq!(offers(&opened), 1);
+    pair.to_backup(&opened);
+    assert_eq!(forwards(&pair.run(SOON).1).len(), 1);
+}
+
+/// The feed was opened just before the move, and its copy has not reached the
+/// backup that became home: the old home offers it.
+#[test]
+fn a_feed_without_a_copy_is_offered_to_the_new_home() {
+    let mut pair = Pair::joined();
+    let sent = forwards(&pair.ask(1, Kind::Open)).remove(0);
+    pair.answer(&sent, notification("first"));
+    let b = pair.b.clone();
+    let moved = pair.install(row(2, Some(&b), None));
+    assert_eq!(offers(&moved), 1);
+    pair.to_backup(&moved);
+    assert_eq!(pair.backup.feeds(), 1);
+}
+
+/// The slice moved: the old home goes on with its registration until the new one
+/// has had time to register, and drops it then.
+#[test]
+fn the_old_home_releases_feeds_after_a_while() {
+    let mut pair = Pair::joined();
+    let sent = open(&mut pair);
+    let b = pair.b.clone();
+    pair.install(row(2, Some(&b), None));
+    pair.run(ms(1_500));
+    let kept = pair.answer(&sent, notification("n"));
+    assert_eq!(sequences(&kept).len(), 1);
+    pair.run(secs(1));
+    let dropped = pair.answer(&sent, notification("n"));
+    assert!(sequences(&dropped).is_empty());
+    assert!(rejects(&dropped));
+}
+
+/// A home takes over hundreds of feeds: they are registered a few at a time, so
+/// that the servers are not flooded.
+#[test]
+fn feeds_are_registered_a_few_at_a_time() {
+    const FEEDS: u64 = 200;
+    let now = Instant::now();
+    let (a, b) = (holder("a", 1), holder("b", 1));
+    let mut pair = Pair::new(row(1, Some(&a), Some(&b)));
+    let mut profile = Profile::default();
+    profile.max_per_caller = 1_000;
+    pair.configure(&profile);
+    for number in 0..FEEDS {
+        let sent = forwards(&pair.ask(number, Kind::Open)).remove(0);
+        let opened = pair.answer(&sent, notification("first"));
+        pair.to_backup(&opened);
+    }
+    promote(&mut pair);
+    let mut most = 0;
+    let mut all = 0;
+    for tick in 0..10 {
+        let actions = pair.backup.handle(now + ms(10 * tick), Event::Tick);
+        most = most.max(forwards(&actions).len());
+        all += forwards(&actions).len();
+    }
+    assert_eq!((most, all), (64, FEEDS as usize));
+}
+
+/// Registrations of a copy that the backup only keeps are none: it sends nothing
+/// to any server while the home is there.
+#[test]
+fn a_copy_alone_registers_nothing() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    let (_, actions) = pair.run(Profile::default().feed_silence() * 2);
+    assert!(forwards(&actions).is_empty());
+}
+
+/// The service is unknown for a while, as after a slow start: the feed must still
+/// be looked after when it is known again.
+#[test]
+fn a_feed_survives_a_gap_in_the_configuration() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    let empty = Event::Snapshot(lab::snapshot(Vec::new()));
+    pair.home.handle(pair.now, empty);
+    pair.run(Profile::default().feed_silence() + secs(2));
+    pair.configure(&Profile::default());
+    let renewed = forwards(&pair.run(Profile::default().feed_silence() + secs(2)).0);
+    assert!(!renewed.is_empty());
+}
+
+/// Feeds of slices that the two workers own do not mix: each worker leaves the
+/// other's rows alone.
+#[test]
+fn workers_keep_to_their_own_slices() {
+    let now = Instant::now();
+    let me = holder("a", 1);
+    let mut engine = Engine::new(lab::settings(&me, 1, 2));
+    let actions = engine.handle(now, table(row(1, Some(&me), None)));
+    assert!(!has_reason(&actions, Reason::HomeGained), "not its slice");
+    let is_feed = |item: &Item| matches!(item, Item::Feed(_));
+    assert!(!steps(&actions).iter().any(is_feed));
+}
