Release a feed's registration under way when its home is heard again

Cause: a backup that was just registering a feed when the home was heard again scheduled no release, so the answered registration went on beside the home's. Found by the property over random events (a registration left at a server); ruled out a wrong count, the server's state was right.

--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -603,9 +603,14 @@
     /// Hands feeds that were taken in for an unreachable home to that home, again
     /// and again until they are released here: a lost message would end them.
     pub(super) fn return_feeds(&mut self, now: Instant, slice: id::Slice) {
-        if !self.offer_feeds(slice) {
+        // A registration under way counts: answered later, it would go on here
+        // beside the home's own.
+        let ours = |feed: &Feed| feed.attempt.is_some() || feed.renewal.is_some();
+        let state = self.slices.get(&slice);
+        if !state.is_some_and(|state| state.feeds.values().any(ours)) {
             return;
         }
+        self.offer_feeds(slice);
         for round in 1..RELEASE_AFTER.as_millis() / RETURN_EVERY.as_millis() {
             let at = now + RETURN_EVERY * round as u32;
             self.schedule(at, Timer::Return(slice));
@@ -613,14 +618,14 @@
         self.releases.push_back((now + RELEASE_AFTER, slice));
     }
 
-    /// Offers feeds to the slice's home; tells whether there were any.
-    pub(super) fn offer_feeds(&mut self, slice: id::Slice) -> bool {
+    /// Offers feeds to the slice's home.
+    pub(super) fn offer_feeds(&mut self, slice: id::Slice) {
         let row = self.table.row(slice);
         let Some(home) = row.home.clone().filter(|home| *home != self.settings.me) else {
-            return false;
+            return;
         };
         let Some(state) = self.slices.get(&slice) else {
-            return false;
+            return;
         };
         let active = state.feeds.iter().filter(|(_, f)| f.attempt.is_some());
         let offers: Vec<Action> = active
@@ -632,9 +637,7 @@
                 }),
             })
             .collect();
-        let any = !offers.is_empty();
         self.out.extend(offers);
-        any
     }
 
     /// Drops the registrations of slices that another instance looks after by now.
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -477,3 +477,17 @@
     let is_feed = |item: &Item| matches!(item, Item::Feed(_));
     assert!(!steps(&actions).iter().any(is_feed));
 }
+
+/// The home is heard again while its backup is just registering the feed: the
+/// answer comes, and the registration must not go on beside the home's.
+#[test]
+fn a_registration_under_way_is_released_too() {
+    let mut pair = Pair::joined();
+    open(&mut pair);
+    cut(&mut pair);
+    let taken = forwards(&pair.run(SOON).1);
+    heal(&mut pair);
+    pair.answer_backup(&taken[0], notification("n"));
+    pair.run(ms(2_500));
+    assert!(rejects(&pair.answer_backup(&taken[0], notification("n"))));
+}
