--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -37,8 +37,8 @@
     let asked = pair.book(1);
     assert!(forwards(&asked).is_empty());
     assert!(steps(&asked).iter().any(is_claim));
-    let kept = pair.to_backup(&asked);
-    let proceeded = pair.to_home(&kept);
+    let kept = pair.tell_backup(&asked);
+    let proceeded = pair.tell_home(&kept);
     assert_eq!(forwards(&proceeded).len(), 1);
 }
 
@@ -53,12 +53,12 @@
         ..Profile::default()
     });
     let first = pair.book(1);
-    let kept = pair.to_backup(&first);
-    pair.to_home(&kept);
+    let kept = pair.tell_backup(&first);
+    pair.tell_home(&kept);
     let refused = pair.book(2);
     assert!(outcomes(&refused).is_empty(), "told before it was claimed");
-    let kept = pair.to_backup(&refused);
-    let told = pair.to_home(&kept);
+    let kept = pair.tell_backup(&refused);
+    let told = pair.tell_home(&kept);
     assert_eq!(outcomes(&told), [Outcome::NotRun { retry_after: 2 }]);
     let b = pair.b.clone();
     pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
@@ -77,9 +77,9 @@
 fn an_acknowledgement_after_the_deadline_forwards_nothing() {
     let mut pair = Pair::joined();
     let asked = pair.book(1);
-    let kept = pair.to_backup(&asked);
+    let kept = pair.tell_backup(&asked);
     pair.now += Profile::default().deadline();
-    let thawed = pair.to_home(&kept);
+    let thawed = pair.tell_home(&kept);
     assert!(forwards(&thawed).is_empty());
     assert_eq!(outcomes(&thawed), [Outcome::Unknown]);
 }
@@ -94,9 +94,9 @@
     let seen = view(&[&pair.a.clone(), &pair.b.clone()], until);
     pair.home.handle(pair.now, seen);
     let asked = pair.book(1);
-    let kept = pair.to_backup(&asked);
+    let kept = pair.tell_backup(&asked);
     pair.now = until;
-    let late = pair.to_home(&kept);
+    let late = pair.tell_home(&kept);
     assert!(forwards(&late).is_empty());
     assert!(has_reason(&late, Reason::UnknownAuthority));
     let new = pair.book(2);
@@ -112,7 +112,7 @@
     let b = pair.b.clone();
     pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
     let asked = pair.book(1);
-    assert!(bodies(&pair.to_backup(&asked)).is_empty());
+    assert!(bodies(&pair.tell_backup(&asked)).is_empty());
 }
 
 /// Two homes of different epochs claim at one backup. The one whose epoch the
@@ -126,7 +126,7 @@
     let b = pair.b.clone();
     pair.backup
         .handle(pair.now, table(row(3, Some(&c), Some(&b))));
-    assert!(bodies(&pair.to_backup(&asked)).is_empty());
+    assert!(bodies(&pair.tell_backup(&asked)).is_empty());
 }
 
 /// A newer home reached the backup before the newer table did. From then on the
@@ -147,7 +147,7 @@
         };
         assert_eq!(bodies(&pair.backup.handle(pair.now, event)).len(), 1);
     }
-    assert!(bodies(&pair.to_backup(&asked)).is_empty());
+    assert!(bodies(&pair.tell_backup(&asked)).is_empty());
 }
 
 /// Somebody who is not home under the table's epoch claims at the backup: it gets
@@ -168,8 +168,8 @@
     let mut pair = Pair::joined();
     let asked = pair.book(1);
     assert!(steps(&pair.book(1)).is_empty());
-    let kept = pair.to_backup(&asked);
-    let sent = pair.to_home(&kept);
+    let kept = pair.tell_backup(&asked);
+    let sent = pair.tell_home(&kept);
     let (server, attempt) = forwards(&sent)[0].clone();
     assert!(forwards(&pair.book(1)).is_empty());
     let answer = Event::Answer {
@@ -192,7 +192,7 @@
     let mut pair = Pair::new(row(1, Some(&a), None));
     assert_eq!(forwards(&pair.book(1)).len(), 1);
     let copied = pair.join();
-    pair.to_backup(&copied);
+    pair.tell_backup(&copied);
     pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
     let request = request(&lab::flow("dispatch", 1), 1, Kind::Once);
     let copy = pair
@@ -211,10 +211,10 @@
     let copied = pair.join();
     let asked = pair.book(1);
     assert!(forwards(&asked).is_empty());
-    let kept = pair.to_backup(&copied);
-    pair.to_home(&kept);
-    let kept = pair.to_backup(&asked);
-    assert_eq!(forwards(&pair.to_home(&kept)).len(), 1);
+    let kept = pair.tell_backup(&copied);
+    pair.tell_home(&kept);
+    let kept = pair.tell_backup(&asked);
+    assert_eq!(forwards(&pair.tell_home(&kept)).len(), 1);
 }
 
 /// The control task hears that the copy is whole only when each step of it is
@@ -224,14 +224,14 @@
     let mut pair = Pair::new(row(1, Some(&holder("a", 1)), None));
     pair.book(1);
     let copied = pair.join();
-    let kept = pair.to_backup(&copied);
+    let kept = pair.tell_backup(&copied);
     let joined = |actions: &[Action]| {
         let joined = |action: &Action| matches!(action, Action::Joined { .. });
         actions.iter().any(joined)
     };
     assert_eq!(kept.len(), 2);
-    assert!(!joined(&pair.to_home(&kept[..1])));
-    assert!(joined(&pair.to_home(&kept[1..])));
+    assert!(!joined(&pair.tell_home(&kept[..1])));
+    assert!(joined(&pair.tell_home(&kept[1..])));
 }
 
 /// The table names a backup that this home has not copied to. It must be given
@@ -293,7 +293,7 @@
 fn only_the_backups_own_acknowledgement_counts() {
     let mut pair = Pair::joined();
     let asked = pair.book(1);
-    let kept = pair.to_backup(&asked);
+    let kept = pair.tell_backup(&asked);
     for other in [holder("b", 2), holder("c", 1)] {
         let actions = deliver(pair.now, &other, &kept, &pair.a, &mut pair.home);
         assert!(forwards(&actions).is_empty());
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -45,7 +45,7 @@
 fn open(pair: &mut Pair) -> Sent {
     let sent = forwards(&pair.ask(1, Kind::Open)).remove(0);
     let opened = pair.answer(&sent, notification("first"));
-    pair.to_backup(&opened);
+    pair.tell_backup(&opened);
     sent
 }
 
@@ -135,7 +135,7 @@
     for _ in 0..40_000 {
         let actions = pair.answer(&sent, notification("n"));
         refreshed += steps(&actions).len();
-        pair.to_backup(&actions);
+        pair.tell_backup(&actions);
     }
     assert!(refreshed >= 2);
     let seen = sequences(&pair.answer(&sent, notification("n")))[0];
@@ -240,7 +240,7 @@
         datagram: bytes::Bytes::new(),
     };
     let ended = pair.home.handle(pair.now, event);
-    pair.to_backup(&ended);
+    pair.tell_backup(&ended);
     assert_eq!((pair.home.feeds(), pair.backup.feeds()), (0, 0));
 }
 
@@ -294,7 +294,7 @@
     // The first step, which clears, arrives last.
     let mut reordered = copy.clone();
     reordered.rotate_left(1);
-    pair.to_backup(&reordered);
+    pair.tell_backup(&reordered);
     assert_eq!(pair.backup.feeds(), 3);
     pair.home
         .handle(pair.now, Event::Abandon(vec![id::Slice(0)]));
@@ -323,10 +323,10 @@
     let seen = sequences(&pair.answer_backup(&taken[0], notification("n")))[0];
     let offered = heal(&mut pair);
     assert_eq!(offers(&offered), 1);
-    pair.to_home(&offered);
+    pair.tell_home(&offered);
     let next = sequences(&pair.answer(&sent, notification("n")))[0];
     assert!(next > seen);
-    pair.to_home(&offered);
+    pair.tell_home(&offered);
     let after = sequences(&pair.answer(&sent, notification("n")))[0];
     assert_eq!(after, next + 1, "an offer that comes twice counts once");
 }
@@ -379,7 +379,7 @@
     pair.install(row(2, Some(&b), None));
     let opened = pair.answer(&sent, notification("first"));
     assert_eq!(offers(&opened), 1);
-    pair.to_backup(&opened);
+    pair.tell_backup(&opened);
     assert_eq!(forwards(&pair.run(SOON).1).len(), 1);
 }
 
@@ -393,7 +393,7 @@
     let b = pair.b.clone();
     let moved = pair.install(row(2, Some(&b), None));
     assert_eq!(offers(&moved), 1);
-    pair.to_backup(&moved);
+    pair.tell_backup(&moved);
     assert_eq!(pair.backup.feeds(), 1);
 }
 
@@ -428,7 +428,7 @@
     for number in 0..FEEDS {
         let sent = forwards(&pair.ask(number, Kind::Open)).remove(0);
         let opened = pair.answer(&sent, notification("first"));
-        pair.to_backup(&opened);
+        pair.tell_backup(&opened);
     }
     promote(&mut pair);
     let mut most = 0;
--- a/tests/lab/pair.rs
+++ b/tests/lab/pair.rs
@@ -80,11 +80,11 @@
             .handle(self.now, Event::Request { request, hops: 0 })
     }
 
-    pub(crate) fn to_backup(&mut self, actions: &[Action]) -> Vec<Action> {
+    pub(crate) fn tell_backup(&mut self, actions: &[Action]) -> Vec<Action> {
         deliver(self.now, &self.a, actions, &self.b, &mut self.backup)
     }
 
-    pub(crate) fn to_home(&mut self, actions: &[Action]) -> Vec<Action> {
+    pub(crate) fn tell_home(&mut self, actions: &[Action]) -> Vec<Action> {
         deliver(self.now, &self.b, actions, &self.a, &mut self.home)
     }
 
@@ -113,8 +113,8 @@
     /// Books and lets the backup acknowledge.
     pub(crate) fn book_through(&mut self, number: u64) -> Vec<Action> {
         let asked = self.book(number);
-        let kept = self.to_backup(&asked);
-        self.to_home(&kept)
+        let kept = self.tell_backup(&asked);
+        self.tell_home(&kept)
     }
 
     /// A server's answer to one forwarding of the home.
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -117,7 +117,7 @@
     pair.install(row(2, Some(&b), None));
     let told = pair.answer(&sent[0], lab::answer("done"));
     assert_eq!(outcomes(&told).len(), 1);
-    pair.to_backup(&told);
+    pair.tell_backup(&told);
     assert_eq!(
         outcomes(&pair.ask_backup(1, Kind::Once)),
         [Outcome::Answered(Bytes::from_static(b"done"))]
@@ -131,7 +131,7 @@
 fn a_claim_that_was_never_forwarded_is_given_back() {
     let mut pair = Pair::joined();
     let asked = pair.book(1);
-    let kept = pair.to_backup(&asked);
+    let kept = pair.tell_backup(&asked);
     let b = pair.b.clone();
     let moved = pair.install(row(2, Some(&b), None));
     let relayed = bodies(&moved)
@@ -139,10 +139,10 @@
         .any(|(to, body)| *to == b && matches!(body, Body::Relay(_)));
     assert!(relayed);
     assert!(
-        forwards(&pair.to_home(&kept)).is_empty(),
+        forwards(&pair.tell_home(&kept)).is_empty(),
         "passed on and run"
     );
-    pair.to_backup(&moved);
+    pair.tell_backup(&moved);
     assert_eq!(forwards(&pair.ask_backup(1, Kind::Once)).len(), 1);
 }
 
@@ -152,7 +152,7 @@
 fn a_claim_is_given_back_by_its_claimer_only() {
     let mut pair = Pair::joined();
     let asked = pair.book(1);
-    pair.to_backup(&asked);
+    pair.tell_backup(&asked);
     let b = pair.b.clone();
     let moved = pair.install(row(2, Some(&b), None));
     let other = holder("c", 1);
@@ -370,11 +370,11 @@
 }
 
 fn authority(commands: &[Command]) -> Option<Instant> {
-    let views = commands.iter().filter_map(|command| match command {
+    let mut views = commands.iter().filter_map(|command| match command {
         Command::Members(view) => Some(Arc::clone(view)),
         _ => None,
     });
-    views.last().and_then(|view| view.authority_until)
+    views.next_back().and_then(|view| view.authority_until)
 }
 
 /// The home dies while its backup is being stopped. The backup has the only copy
