--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -341,7 +341,8 @@
             address: lab::endpoint(4, 2).to_string(),
             leaving,
             digest: 0,
-            loads: Vec::new(),
+            loads: None,
+            trimmed: false,
         };
         self.control.heartbeat(self.now, holder, &message);
     }
