--- a/standin/src/fabric.rs
+++ b/standin/src/fabric.rs
@@ -75,7 +75,7 @@
     }));
     let links = Links::new(seed);
     let chooser = spray.clone();
-    let choose = Box::new(move || lock(&chooser).choose());
+    let choose = Box::new(move |_| lock(&chooser).choose());
     let mut tasks = JoinSet::new();
     tasks.spawn(relay::run(public, links.clone(), choose));
     Ok(Handle {
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,217 @@
+//! Non-idempotent requests run at most once, and outcomes are true.
+
+mod utils;
+
+use std::time::Duration;
+
+use coap_lite::RequestType;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use standin::caller::Outcome;
+use standin::fault::Direction;
+use standin::fault::Faults;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use utils::Cluster;
+use utils::PATIENCE;
+use utils::Plan;
+use utils::quick;
+
+const SLOW: Duration = Duration::from_millis(2_500);
+const CALLERS: u64 = 10;
+const REQUESTS: u64 = 40;
+
+/// How often a caller is tried to find one whose home is not a given instance.
+const TRIES: u64 = 64;
+
+async fn start(servers: usize) -> Cluster {
+    Cluster::start(Plan {
+        zones: vec!["bole", "kality", "merkato", "ayat"],
+        services: vec![("dispatch", servers)],
+        settings: quick(),
+        profile: json!({"slow_start_s": 0, "retry_budget_percent": 100}),
+        ..Plan::default()
+    })
+    .await
+}
+
+/// A caller that sends to an instance which is neither home nor backup for it.
+async fn outsider(cluster: &Cluster) -> (standin::caller::Caller, usize) {
+    for seed in 0..TRIES {
+        let caller = cluster.caller_at("dispatch", 0, seed).await;
+        let address = caller.address().expect("address");
+        let home = cluster.home("dispatch", address);
+        if home != 0 && cluster.backup("dispatch", address) != 0 {
+            return (caller, home);
+        }
+    }
+    panic!("no such caller");
+}
+
+/// The caller books through one instance, and copies of its datagram reach all
+/// others, before and after its home is frozen in the middle of the work. The
+/// backup takes over and must not run the booking, since its claim says that the
+/// old home may have done so; the old home thaws, finds itself replaced, and must
+/// not run it again either. The caller is told "unknown" or the real answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_home_that_thaws_runs_nothing_twice() {
+    let cluster = start(4).await;
+    for server in cluster.servers.values() {
+        server.set_service_time(SLOW);
+    }
+    let (caller, home) = outsider(&cluster).await;
+    let address = caller.address().expect("address");
+    let mut exchange = caller.begin(RequestType::Post, "/pickup", "booking").await;
+    let datagram = exchange.datagram();
+    cluster.copies("dispatch", &caller, &datagram, home).await;
+    cluster
+        .until("it starts", async || cluster.starts("booking") == 1)
+        .await;
+    cluster.instances[home].signal(Signal::SIGSTOP);
+    cluster.copies("dispatch", &caller, &datagram, home).await;
+    cluster
+        .until("the backup takes over", async || {
+            cluster.home("dispatch", address) != home
+        })
+        .await;
+    cluster.copies("dispatch", &caller, &datagram, home).await;
+    let first = exchange.outcome(PATIENCE).await;
+    assert_eq!(first, Outcome::Unknown);
+    // New bookings of the same caller run at the new home.
+    let next = caller
+        .request(RequestType::Post, "/pickup", "next", PATIENCE)
+        .await;
+    assert!(matches!(next, Outcome::Answered { .. }), "{next:?}");
+    cluster.instances[home].signal(Signal::SIGCONT);
+    cluster
+        .copies("dispatch", &caller, &datagram, TRIES as usize)
+        .await;
+    sleep(SLOW).await;
+    cluster
+        .copies("dispatch", &caller, &datagram, TRIES as usize)
+        .await;
+    sleep(SLOW).await;
+    assert_eq!(cluster.starts("booking"), 1);
+    assert_eq!(cluster.starts("next"), 1);
+}
+
+/// The caller's booking is at a server when its home is killed. The caller
+/// repeats its datagram at the other instances; the backup knows the claim, not
+/// the answer, and says "unknown" within seconds rather than run it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_home_leaves_unknown_and_no_second_start() {
+    let mut cluster = start(4).await;
+    for server in cluster.servers.values() {
+        server.set_service_time(SLOW);
+    }
+    let (caller, home) = outsider(&cluster).await;
+    let mut exchange = caller.begin(RequestType::Post, "/pickup", "booking").await;
+    cluster
+        .until("it starts", async || cluster.starts("booking") == 1)
+        .await;
+    cluster.instances[home].kill();
+    let datagram = exchange.datagram();
+    cluster.copies("dispatch", &caller, &datagram, home).await;
+    assert_eq!(exchange.outcome(PATIENCE).await, Outcome::Unknown);
+    cluster.copies("dispatch", &caller, &datagram, home).await;
+    sleep(SLOW).await;
+    assert_eq!(cluster.starts("booking"), 1);
+}
+
+/// What was told to callers in a long run under faults.
+#[derive(Default)]
+struct Tally {
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+    silent: u64,
+}
+
+async fn book(caller: standin::caller::Caller, name: String) -> Vec<(String, Outcome)> {
+    let mut outcomes = Vec::new();
+    for number in 0..REQUESTS {
+        let payload = format!("{name}-{number}");
+        let outcome = caller
+            .request(
+                RequestType::Post,
+                "/pickup",
+                payload.clone(),
+                Duration::from_secs(15),
+            )
+            .await;
+        outcomes.push((payload, outcome));
+        sleep(Duration::from_millis(100)).await;
+    }
+    outcomes
+}
+
+/// Callers book without pause through a fabric that loses, doubles and delays
+/// datagrams, while an instance is frozen and thaws, another is killed, servers
+/// refuse, and the platform goes down and loses the answers of its writes. Each
+/// outcome is then held against the servers' own counts: nothing ran twice, what
+/// was answered ran, and what was reported as not run did not.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_history_under_faults_is_told_truly() {
+    let mut cluster = start(6).await;
+    let faults = Faults {
+        loss: 0.03,
+        duplicate: 0.2,
+        jitter: Duration::from_millis(30),
+        ..Faults::default()
+    };
+    let fabric = &cluster.fabrics["dispatch"];
+    fabric.set_faults(Direction::Forward, faults);
+    fabric.set_faults(Direction::Back, faults);
+    for server in cluster.servers.values() {
+        server.set_service_time(Duration::from_millis(100));
+    }
+    let mut histories = JoinSet::new();
+    for seed in 0..CALLERS {
+        let caller = cluster.caller("dispatch", seed).await;
+        histories.spawn(book(caller, format!("history-{seed}")));
+    }
+    sleep(Duration::from_secs(1)).await;
+    cluster.servers["dispatch-0"].shed(true);
+    cluster.platform.lose_answers(4);
+    cluster.instances[0].signal(Signal::SIGSTOP);
+    sleep(Duration::from_millis(2_500)).await;
+    cluster.instances[0].signal(Signal::SIGCONT);
+    cluster.platform.down(true);
+    sleep(Duration::from_secs(2)).await;
+    cluster.platform.down(false);
+    cluster.servers["dispatch-0"].shed(false);
+    cluster.servers["dispatch-1"].drain(true);
+    cluster.instances[1].kill();
+    sleep(Duration::from_secs(2)).await;
+    cluster.platform.lose_answers(4);
+    cluster.unlist(1);
+    let mut told = Vec::new();
+    while let Some(history) = histories.join_next().await {
+        told.extend(history.expect("a history"));
+    }
+    sleep(Duration::from_secs(1)).await;
+    let mut tally = Tally::default();
+    for (payload, outcome) in &told {
+        let starts = cluster.starts(payload);
+        assert!(starts <= 1, "{payload} started {starts} times");
+        match outcome {
+            Outcome::Answered { .. } => {
+                assert_eq!(starts, 1, "{payload}");
+                tally.answered += 1;
+            }
+            Outcome::NotRun { .. } => {
+                assert_eq!(starts, 0, "{payload}");
+                tally.not_run += 1;
+            }
+            Outcome::Unknown => tally.unknown += 1,
+            Outcome::Silent => tally.silent += 1,
+        }
+    }
+    println!(
+        "{} answered, {} not run, {} unknown, {} silent",
+        tally.answered, tally.not_run, tally.unknown, tally.silent
+    );
+    assert_eq!(told.len() as u64, CALLERS * REQUESTS);
+    // Two of four instances fail; the rest of the time everything is answered.
+    assert!(tally.answered * 2 > CALLERS * REQUESTS);
+}
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,83 @@
+//! A feed that fell silent comes back by itself.
+
+mod utils;
+
+use std::time::Duration;
+
+use coap_lite::RequestType;
+use serde_json::json;
+use standin::caller::Outcome;
+use standin::caller::Update;
+use tokio::time::Instant;
+use utils::Cluster;
+use utils::PATIENCE;
+use utils::Plan;
+use utils::quick;
+
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Slack over the profile's silence, for a busy machine.
+const BOUND: Duration = Duration::from_secs(6);
+
+/// The caller's feed stalls although new requests work: something between the
+/// two ends has dropped the registrations without a word. After the profile's
+/// silence the home registers the feed again with the same server, and the
+/// notifications go on without the caller doing anything.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_feed_comes_back_without_the_caller() {
+    let cluster = Cluster::start(Plan {
+        settings: quick(),
+        profile: json!({"feed_silence_s": SILENCE.as_secs(), "slow_start_s": 0}),
+        ..Plan::default()
+    })
+    .await;
+    let driver = cluster.caller("dispatch", 1).await;
+    let mut feed = driver.observe("/route", PATIENCE).await.expect("a feed");
+    for round in 0..2 {
+        let forgot = Instant::now();
+        for server in cluster.servers.values() {
+            server.forget();
+        }
+        let outcome = driver
+            .request(RequestType::Get, "/sheet", b"", PATIENCE)
+            .await;
+        assert!(matches!(outcome, Outcome::Answered { .. }), "{outcome:?}");
+        // Notifications that were on their way when the server forgot come first.
+        while let Update::Notification { .. } = feed.next(Duration::from_millis(600)).await {}
+        let update = feed.next(PATIENCE).await;
+        let gap = forgot.elapsed();
+        assert!(matches!(update, Update::Notification { .. }), "{update:?}");
+        println!("round {round}: alive again after {gap:?}");
+        assert!(gap < SILENCE + BOUND, "{gap:?}");
+        let observers: usize = cluster.servers.values().map(|s| s.observers()).sum();
+        assert_eq!(observers, 1);
+        for _ in 0..5 {
+            let update = feed.next(PATIENCE).await;
+            assert!(matches!(update, Update::Notification { .. }), "{update:?}");
+        }
+    }
+}
+
+/// The caller's feed stalls because its server stands still, while its health is
+/// not asked yet. The home asks the server once, gets no answer within the time of
+/// an attempt, and registers the feed with another server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_feed_of_a_frozen_server_moves_to_another() {
+    let cluster = Cluster::start(Plan {
+        settings: quick(),
+        profile: json!({"feed_silence_s": SILENCE.as_secs(), "slow_start_s": 0}),
+        ..Plan::default()
+    })
+    .await;
+    let driver = cluster.caller("dispatch", 1).await;
+    let mut feed = driver.observe("/route", PATIENCE).await.expect("a feed");
+    let server = feed.server().expect("a server").to_owned();
+    cluster.servers[&server].freeze(true);
+    let frozen = Instant::now();
+    while feed.server() == Some(&server) {
+        let update = feed.next(PATIENCE).await;
+        assert!(matches!(update, Update::Notification { .. }), "{update:?}");
+    }
+    println!("moved after {:?}", frozen.elapsed());
+    assert!(frozen.elapsed() < SILENCE + BOUND);
+}
--- /dev/null
+++ b/tests/wrong.rs
@@ -0,0 +1,193 @@
+//! Never the wrong service, and input that is not what it should be.
+
+mod utils;
+
+use std::time::Duration;
+
+use coap_lite::MessageClass;
+use coap_lite::MessageType;
+use coap_lite::Packet;
+use coap_lite::RequestType;
+use coap_lite::ResponseType;
+use serde_json::json;
+use standin::caller::Outcome;
+use standin::caller::Update;
+use standin::server;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use utils::Cluster;
+use utils::PATIENCE;
+use utils::Plan;
+use utils::counted;
+use utils::quick;
+
+/// The caller books at dispatch while one of its servers ends and a server of
+/// ledger comes up on the same addresses; the platform's list still names it for
+/// dispatch. The health answer names the other service, so that nothing is sent
+/// there after the next check; what is sent before names its own service, and the
+/// other server refuses it. Ledger executes nothing of dispatch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_of_another_service_on_an_old_address_runs_nothing() {
+    let mut cluster = Cluster::start(Plan {
+        services: vec![("dispatch", 3), ("ledger", 1)],
+        settings: quick(),
+        profile: json!({"slow_start_s": 0}),
+        ..Plan::default()
+    })
+    .await;
+    let caller = cluster.caller("dispatch", 1).await;
+    let old = cluster.servers.remove("dispatch-0").expect("a server");
+    let mut settings = server::Settings::new("ledger-9", "ledger");
+    settings.bind = old.address();
+    settings.health_bind = old.health_address();
+    old.stop().await;
+    let other = server::start(settings).await.expect("a server");
+    let taken = Instant::now();
+    let end = taken + Duration::from_secs(6);
+    let mut number = 0;
+    while Instant::now() < end {
+        let payload = format!("booking-{number}");
+        caller
+            .request(RequestType::Post, "/pickup", payload, PATIENCE)
+            .await;
+        number += 1;
+    }
+    let seen = other.seen_since(taken);
+    let last = seen.last().map(|seen| seen.at - taken);
+    println!(
+        "{number} bookings, {} reached the other service, the last after {last:?}",
+        other.wrong_service()
+    );
+    assert!(other.all_starts().is_empty(), "{:?}", other.all_starts());
+    assert_eq!(seen.len() as u64, other.wrong_service());
+    assert!(other.seen_since(taken + Duration::from_secs(3)).is_empty());
+}
+
+async fn count(cluster: &Cluster, reason: &str) -> u64 {
+    let mut sum = 0;
+    for instance in &cluster.instances {
+        sum += counted(&instance.metrics().await, reason);
+    }
+    sum
+}
+
+/// Sends one datagram from a socket of its own.
+async fn send(datagram: &[u8], to: std::net::SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
+    socket.send_to(datagram, to).await.expect("send");
+}
+
+fn forged_answer(token: [u8; 8]) -> Vec<u8> {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Response(ResponseType::Content);
+    packet.header.set_type(MessageType::NonConfirmable);
+    packet.set_token(token.to_vec());
+    packet.payload = b"forged".to_vec();
+    packet.to_bytes().expect("bytes")
+}
+
+/// Somebody sends datagrams that nobody asked for to every kind of socket: to
+/// those toward the servers, to the peer port, to the listeners. Each is dropped
+/// and counted, and the caller's feed and requests go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_and_malformed_datagrams_are_dropped_and_counted() {
+    let cluster = Cluster::start(Plan {
+        settings: quick(),
+        ..Plan::default()
+    })
+    .await;
+    let begun = Instant::now();
+    let driver = cluster.caller("dispatch", 1).await;
+    let mut feed = driver.observe("/route", PATIENCE).await.expect("a feed");
+    let seen: Vec<_> = cluster
+        .servers
+        .values()
+        .flat_map(|server| server.seen_since(begun))
+        .collect();
+    let backend = seen.first().expect("a request").remote;
+    let expected = [
+        ("foreign_answer", 0, [0; 8]),
+        ("foreign_answer", 1, [0xff; 8]),
+    ];
+    for (reason, extra, token) in expected {
+        let before = count(&cluster, reason).await;
+        send(&forged_answer(token), backend).await;
+        cluster
+            .until(
+                &format!("{reason} counts token {token:x?} ({extra})"),
+                async || count(&cluster, reason).await > before,
+            )
+            .await;
+    }
+    let before = count(&cluster, "bad_datagram").await;
+    send(b"no answer", backend).await;
+    let listener = cluster.instances[0].listeners["dispatch"];
+    send(&[0xff; 20], listener).await;
+    send(&[0x40; 1_500], listener).await;
+    send(&[0x40, 0x01, 0, 1, 0xd0], listener).await;
+    // An answer where a request belongs.
+    send(&forged_answer([1; 8]), listener).await;
+    cluster
+        .until("five bad datagrams are counted", async || {
+            count(&cluster, "bad_datagram").await >= before + 5
+        })
+        .await;
+    let before = count(&cluster, "bad_peer_message").await;
+    for length in [0, 1, 16, 200] {
+        send(&vec![7; length], cluster.instances[1].peer).await;
+    }
+    cluster
+        .until("forged peer messages are counted", async || {
+            count(&cluster, "bad_peer_message").await >= before + 4
+        })
+        .await;
+    let outcome = driver
+        .request(RequestType::Get, "/sheet", b"", PATIENCE)
+        .await;
+    let Outcome::Answered { payload, .. } = &outcome else {
+        panic!("{outcome:?}");
+    };
+    assert!(payload.starts_with(b"server="), "{outcome:?}");
+    for _ in 0..5 {
+        let Update::Notification { payload, .. } = feed.next(PATIENCE).await else {
+            panic!("the feed ended");
+        };
+        assert!(payload.starts_with(b"server="));
+    }
+    sleep(Duration::from_millis(100)).await;
+    for instance in &cluster.instances {
+        assert!(instance.status().await.expect("status").ready);
+    }
+}
+
+/// A service is withdrawn while callers go on sending. Its datagrams are dropped
+/// and counted, and the other service is not disturbed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_service_is_counted() {
+    let cluster = Cluster::start(Plan {
+        services: vec![("dispatch", 2), ("ledger", 2)],
+        settings: quick(),
+        ..Plan::default()
+    })
+    .await;
+    cluster.platform.delete("godwitreel/services/ledger");
+    cluster
+        .until("the service is gone", async || {
+            let status = cluster.instances[0].status().await;
+            status.is_some_and(|s| !s.revisions.contains_key("services/ledger"))
+        })
+        .await;
+    let before = count(&cluster, "unknown_service").await;
+    let office = cluster.caller_at("ledger", 0, 1).await;
+    let outcome = office
+        .request(RequestType::Get, "/sheet", b"", Duration::from_secs(1))
+        .await;
+    assert_eq!(outcome, Outcome::Silent);
+    assert!(count(&cluster, "unknown_service").await > before);
+    let driver = cluster.caller("dispatch", 2).await;
+    let outcome = driver
+        .request(RequestType::Get, "/route", b"", PATIENCE)
+        .await;
+    assert!(matches!(outcome, Outcome::Answered { .. }), "{outcome:?}");
+}
