Leave a request that moved to the home that works on it

Cause: a copy that reached the new home during a planned move found the claim and got "unknown" at once, while the old home was alive and about to answer. Ruled out: a lost claim or a second start (each request had started once). Change: the new home lets such a copy wait while the old home is heard and the request's time is not over; after that it is "unknown" as before. Conclusion: a killed or frozen home still leads to "unknown" once it is suspect (tests/once.rs).

--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -160,7 +160,7 @@
         let key = request.key();
         let state = self.slices.entry(slice).or_default();
         if state.records.contains_key(&key) {
-            self.copy(slice, &key, &request);
+            self.copy(now, slice, &key, &request);
         } else if request.kind.runs_once() {
             self.admit_once(now, slice, service, request);
         } else {
@@ -169,7 +169,7 @@
     }
 
     /// A copy of a request that is known here never causes work.
-    fn copy(&mut self, slice: id::Slice, key: &Key, request: &Request) {
+    fn copy(&mut self, now: Instant, slice: id::Slice, key: &Key, request: &Request) {
         let Some(record) = self.slices.get(&slice).and_then(|s| s.records.get(key)) else {
             return;
         };
@@ -189,6 +189,11 @@
                     outcome,
                 });
             }
+            // The home before finishes what it has and answers the caller itself:
+            // "unknown" would cut off a request that a planned move must not touch.
+            Phase::Claimed if self.is_finished_elsewhere(now, slice, key) => {
+                self.note_request(Reason::CopyIgnored, slice, key);
+            }
             Phase::Claimed => {
                 self.turn_away(request, Outcome::Unknown, Reason::UnknownClaimed);
             }
@@ -204,6 +209,18 @@
         }
     }
 
+    /// Whether the home before may still answer a request that it had claimed.
+    fn is_finished_elsewhere(&self, now: Instant, slice: id::Slice, key: &Key) -> bool {
+        let Some(state) = self.slices.get(&slice) else {
+            return false;
+        };
+        let former = state.former.as_ref();
+        let lives = former.is_some_and(|former| self.members.is_live(former));
+        let record = state.records.get(key);
+        let deadline = self.deadline(&key.flow.service);
+        lives && record.is_some_and(|record| now < record.born + deadline)
+    }
+
     fn admit_once(&mut self, now: Instant, slice: id::Slice, service: &Service, request: Request) {
         let blank = self.slices.get(&slice).and_then(|state| state.blank_since);
         if !self.members.has_authority(now) {
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -54,7 +54,7 @@
         self.snapshot.services.get(id).map(Arc::clone)
     }
 
-    fn deadline(&self, service: &id::Service) -> Duration {
+    pub(super) fn deadline(&self, service: &id::Service) -> Duration {
         self.service(service)
             .map_or(Duration::ZERO, |service| service.profile.deadline())
     }
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -407,18 +407,21 @@
             .map(|(slice, row)| (slice, row.clone()))
             .collect();
         for (slice, row) in rows {
-            self.take_row(now, slice, row);
+            let known = before.rows().nth(slice.0 as usize);
+            let former = known.and_then(|(_, known)| known.home.clone());
+            self.take_row(now, slice, row, former);
         }
         self.unpark(now);
     }
 
-    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row) {
+    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, former: Option<id::Holder>) {
         let state = self.slices.entry(slice).or_default();
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
         if row.is_home(&self.settings.me) {
             state.role = Role::Home;
             if before != Role::Home {
+                state.former = former;
                 self.become_home(now, slice, &row);
             }
             self.take_backup(now, slice, row.backup);
--- a/src/record.rs
+++ b/src/record.rs
@@ -164,6 +164,8 @@
     pub(crate) epoch: id::Epoch,
     /// As backup: the greatest epoch under which a home has replicated to us.
     pub(crate) seen: id::Epoch,
+    /// As home: the one before, which may still be finishing requests.
+    pub(crate) former: Option<id::Holder>,
     /// As home without the records: since when.
     pub(crate) blank_since: Option<Instant>,
     pub(crate) replica: Option<Replica>,
