Count answers that name no worker, and parked requests

Cause: an answer whose token names a worker that does not exist was dropped without a count, and the gauge of parked requests was never set. Change: the edge counts the first as foreign, the worker sets the gauge. Before: tests/wrong.rs foreign_and_malformed_datagrams_are_dropped_and_counted waited in vain for the token ff ff ff ff ff ff ff ff; after: it is counted.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -138,7 +138,9 @@
                 path,
                 acknowledge,
             };
-            shared.pool.give_answer(attempt, input);
+            if !shared.pool.give_answer(attempt, input) {
+                note(shared, Reason::ForeignAnswer);
+            }
         }
         Ok(Reply::Empty) => {}
         Err(_) => note(shared, Reason::BadDatagram),
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -133,12 +133,15 @@
         self.push(worker, Input::Event(event));
     }
 
-    /// Gives a server's answer to the worker whose sending it answers.
-    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) {
+    /// Gives a server's answer to the worker whose sending it answers; tells
+    /// whether there is such a worker.
+    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) -> bool {
         let worker = (attempt.0 >> ATTEMPT_BITS) as usize;
-        if worker < self.senders.len() {
+        let known = worker < self.senders.len();
+        if known {
             self.push(worker, input);
         }
+        known
     }
 
     /// Gives an event to all workers; waits for room, since none may miss it.
@@ -181,6 +184,8 @@
             let in_progress = engine.in_progress() as u64;
             gauge.in_progress.store(in_progress, Ordering::Relaxed);
             gauge.feeds.store(engine.feeds() as u64, Ordering::Relaxed);
+            let parked = engine.parked() as u64;
+            gauge.parked.store(parked, Ordering::Relaxed);
             gauge
                 .records
                 .store(engine.records() as u64, Ordering::Relaxed);
