--- a/src/engine.rs
+++ b/src/engine.rs
@@ -101,6 +101,8 @@
     next_attempt: u64,
     next_message: u16,
     next_number: u64,
+    /// Whether new work is refused, since this instance ends soon.
+    closing: bool,
     rng: SmallRng,
     out: Vec<Action>,
 }
@@ -134,6 +136,7 @@
             next_number: start,
             rng: SmallRng::seed_from_u64(settings.seed),
             out: Vec::new(),
+            closing: false,
             settings,
         }
     }
@@ -160,6 +163,7 @@
             Event::Members(members) => self.take_members(now, members),
             Event::Join { slices, backup } => self.join(now, &slices, &backup),
             Event::Abandon(slices) => self.abandon(now, &slices),
+            Event::Closing => self.closing = true,
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.out)
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -281,6 +281,9 @@
     }
 
     fn limit(&mut self, slice: id::Slice, service: &Service, flow: &Flow) -> Option<Reason> {
+        if self.closing {
+            return Some(Reason::RefusedStopping);
+        }
         let busy = self
             .slices
             .get(&slice)
--- a/src/event.rs
+++ b/src/event.rs
@@ -66,6 +66,8 @@
     },
     /// Give up joining a backup; no write that names it is under way.
     Abandon(Vec<id::Slice>),
+    /// The instance ends soon and cannot hand its slices over: new work is refused.
+    Closing,
     /// Time has passed.
     Tick,
 }
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -49,6 +49,7 @@
     RefusedByServer "refused_by_server" "Not run: the servers that were asked refused.";
     RefusedLimit "refused_limit" "Not run: the service's limit at this instance is reached.";
     RefusedCaller "refused_caller" "Not run: the caller's own limit is reached.";
+    RefusedStopping "refused_stopping" "Not run: this instance ends soon and could not hand its slices over.";
     UnknownDeadline "unknown_deadline" "Unknown: no answer within the profile's deadline.";
     UnknownClaimed "unknown_claimed" "Unknown: an earlier home had claimed the request.";
     UnknownBlank "unknown_blank" "Unknown: the slice was taken over without its records.";
