End a stop with nothing cut, and tell what a second signal cuts

Cause: (1) without the platform a stopping home kept getting requests until its grace time ended and cut the last ones; (2) requests that wait for a home were not counted as in progress; (3) the count of a second signal was that of the first one, so that a request which came in between was cut with exit code 0; (4) records still queued at exit were lost, since worker threads keep clones of the logger. Ruled out: a shorter linger (the requests come without pause). Change: near the end of the grace time the engines refuse new work; parked requests count; the count is taken when the second signal comes; a guard writes the queue out at exit. Conclusion: a profile whose deadline is longer than half of the grace time can still be cut.

--- a/src/bin/godwitreeld/main.rs
+++ b/src/bin/godwitreeld/main.rs
@@ -31,7 +31,8 @@
         println!("{}: settings are in order", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    let log = log::logger(&settings.log);
+    // Dropped last: it waits until the records are written.
+    let (log, _flush) = log::logger(&settings.log);
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => return refuse(&error),
@@ -50,17 +51,19 @@
 
 async fn run(settings: settings::Daemon, log: Logger) -> Result<daemon::Stopped> {
     let mut signals = Signals::new()?;
-    let handle = daemon::start(settings, log.clone()).await?;
+    let mut handle = daemon::start(settings, log.clone()).await?;
     info!(log, "running");
     signals.next().await;
-    let in_progress = handle.in_progress();
-    tokio::select! {
-        stopped = handle.stop() => Ok(stopped),
-        () = signals.next() => {
-            warn!(log, "second signal: ending at once"; "cut" => in_progress);
-            Ok(daemon::Stopped { cut: in_progress, kept: 0 })
-        }
+    let graceful = tokio::select! {
+        stopped = handle.stop() => Some(stopped),
+        () = signals.next() => None,
+    };
+    if let Some(stopped) = graceful {
+        return Ok(stopped);
     }
+    let stopped = handle.abort();
+    warn!(log, "second signal: ending at once"; "cut" => stopped.cut, "kept" => stopped.kept);
+    Ok(stopped)
 }
 
 /// The signals that stop the daemon.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::engine::Engine;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event::Event;
 use crate::explain;
 use crate::http;
 use crate::id;
@@ -143,13 +144,26 @@
 impl Handle {
     /// Stops gracefully: hands the slices over, finishes what is in progress, and
     /// returns at the latest when the grace time of the settings is over.
-    pub async fn stop(self) -> Stopped {
+    pub async fn stop(&mut self) -> Stopped {
         info!(self.shared.log, "stopping");
         let _ = self.stop.send(true);
-        let grace = Instant::now() + self.shared.settings.stop_grace();
+        let begun = Instant::now();
+        let grace = begun + self.shared.settings.stop_grace();
         let mut empty_since = None;
+        let mut closing = false;
         while Instant::now() < grace {
             let now = Instant::now();
+            let tight = now + self.longest_deadline() + LINGER >= grace;
+            if !closing && tight && now - begun >= self.shared.settings.stop_grace() / 2 {
+                // Slices that nobody could take over go on getting requests, and
+                // the end would cut off whatever came last.
+                closing = true;
+                info!(self.shared.log, "refusing new work");
+                self.shared.pool.tell(&Event::Closing);
+            }
+            if closing && self.in_progress() == 0 {
+                break;
+            }
             if self.is_empty(now) {
                 let since = *empty_since.get_or_insert(now);
                 if now >= since + LINGER {
@@ -163,16 +177,26 @@
         self.end().await
     }
 
-    /// Requests in progress now.
+    /// Requests in progress now, those that wait for a home included.
     pub fn in_progress(&self) -> u64 {
-        self.shared.pool.sum(|gauge| &gauge.in_progress)
+        let pool = &self.shared.pool;
+        pool.sum(|gauge| &gauge.in_progress) + pool.sum(|gauge| &gauge.parked)
     }
 
     /// Ends at once.
     pub fn abort(self) -> Stopped {
+        let stopped = self.stopped();
         self.shared.close();
         self.registration.abort();
-        self.stopped()
+        stopped
+    }
+
+    /// Longest time that a request which has come may still take.
+    fn longest_deadline(&self) -> Duration {
+        let snapshot = self.shared.config().snapshot();
+        let services = snapshot.services.values();
+        let deadlines = services.map(|service| service.profile.deadline());
+        deadlines.max().unwrap_or_default()
     }
 
     fn stopped(&self) -> Stopped {
@@ -194,11 +218,11 @@
         (homes + backups == 0 || silent) && self.in_progress() == 0
     }
 
-    async fn end(self) -> Stopped {
+    async fn end(&mut self) -> Stopped {
         let stopped = self.stopped();
         self.shared.close();
         // The control task held the sender, so the registration is withdrawn now.
-        let withdraw = tokio::time::timeout(LINGER, self.registration);
+        let withdraw = tokio::time::timeout(LINGER, &mut self.registration);
         let _ = withdraw.await;
         info!(self.shared.log, "stopped"; "cut" => stopped.cut, "kept" => stopped.kept);
         stopped
--- a/src/log.rs
+++ b/src/log.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 use slog::Record;
 use slog::o;
+use slog_async::AsyncGuard;
 
 use crate::settings::Format;
 use crate::settings::Level;
@@ -17,8 +18,13 @@
 /// Records that may wait for being written; more are dropped and counted.
 const QUEUE: usize = 4_096;
 
-/// Builds the logger; its records are complete when its last clone is dropped.
-pub fn logger(settings: &Log) -> Logger {
+/// Waits, when it is dropped, until all records are written. Worker threads keep
+/// clones of the logger to the end, so that without it the last lines would be
+/// lost, which are those that tell what a stop has cut off.
+pub struct Flush(#[expect(dead_code, reason = "it acts when it is dropped")] AsyncGuard);
+
+/// Builds the logger and what completes its records.
+pub fn logger(settings: &Log) -> (Logger, Flush) {
     match settings.format {
         Format::Json => {
             let json = slog_json::Json::new(io::stderr())
@@ -34,12 +40,15 @@
     }
 }
 
-fn queued<D>(drain: D, settings: &Log) -> Logger
+fn queued<D>(drain: D, settings: &Log) -> (Logger, Flush)
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let queue = slog_async::Async::new(drain).chan_size(QUEUE).build();
-    Logger::root(filtered(queue, settings.clone()).fuse(), o!())
+    let (queue, guard) = slog_async::Async::new(drain)
+        .chan_size(QUEUE)
+        .build_with_guard();
+    let logger = Logger::root(filtered(queue, settings.clone()).fuse(), o!());
+    (logger, Flush(guard))
 }
 
 /// Passes on what the settings of a record's module allow.
