Keep what was deleted from coming back from a peer

Cause: peers give each other what is newer by modification number, and a key that was deleted has none. An instance that was cut off from the platform gave a withdrawn wish to drain a server back to all others, for good; and it could not learn of the deletion itself. Ruled out: a stale platform (the follower refuses older listings). Change: an instance knows up to which revision the platform has told it everything. A peer's copy from before that is refused, and a peer that asks is told which of its keys do not exist any more. A listing that is older than a peer's copy does not remove it. Before: tests/change.rs a_withdrawn_wish_does_not_come_back_from_a_peer failed at instance 1, which had the key again; after: it passes, and the instance that was cut off drops the key too. Conclusion: no instance needs the platform to unlearn; the exchange is one TCP pull, as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -58,6 +58,10 @@
     services: BTreeMap<id::Service, InForce<document::Service>>,
     servers: BTreeMap<id::Server, Arc<Server>>,
     drained: BTreeSet<String>,
+    /// Revision of the store up to which the platform has told everything, by prefix.
+    horizons: BTreeMap<String, u64>,
+    /// Keys that a peer knows to be gone, with the revision up to which they are.
+    gone: BTreeMap<String, u64>,
     refused: BTreeMap<String, String>,
 }
 
@@ -73,6 +77,48 @@
         true
     }
 
+    /// The platform has told everything of a prefix up to this revision.
+    pub fn told(&mut self, prefix: &str, revision: u64) {
+        let horizon = self.horizons.entry(prefix.to_owned()).or_default();
+        *horizon = revision.max(*horizon);
+        let horizon = *horizon;
+        let newer = |key: &String, gone: &mut u64| !key.starts_with(prefix) || *gone > horizon;
+        self.gone.retain(newer);
+    }
+
+    /// Revision up to which a key's absence here proves that it does not exist.
+    fn horizon(&self, key: &str) -> u64 {
+        let of_key = |(prefix, _): &(&String, &u64)| key.starts_with(prefix.as_str());
+        let told = self.horizons.iter().filter(of_key).map(|(_, told)| *told);
+        let gone = self.gone.get(key).copied();
+        told.chain(gone).max().unwrap_or(0)
+    }
+
+    /// Takes a peer's copy of an entry; tells whether it is newer than what was known.
+    pub fn put_copy(&mut self, entry: &Entry) -> bool {
+        // A peer that is cut off from the platform still has what was deleted
+        // meanwhile, and would bring back what an operator has withdrawn.
+        entry.mod_revision > self.horizon(&entry.key) && self.put(entry)
+    }
+
+    /// Takes a peer's word that a key was gone at this revision; tells whether it
+    /// was known.
+    pub fn remove_copy(&mut self, key: &str, revision: u64) -> bool {
+        let known = self.entries.get(key);
+        let outdated = known.is_some_and(|known| known.mod_revision <= revision);
+        if outdated {
+            self.remove(key);
+            self.gone.insert(key.to_owned(), revision);
+        }
+        outdated
+    }
+
+    /// Revision at which a key is known not to exist, if that is newer than `than`.
+    pub fn gone_since(&self, key: &str, than: u64) -> Option<u64> {
+        let horizon = self.horizon(key);
+        (horizon >= than && !self.entries.contains_key(key)).then_some(horizon)
+    }
+
     /// Takes the removal of a key.
     pub fn remove(&mut self, key: &str) {
         self.entries.remove(key);
@@ -93,10 +139,15 @@
         self.drained.remove(key);
     }
 
-    /// Drops what is not among the platform's keys any more.
+    /// Drops what is not among the platform's keys any more. What a peer gave and
+    /// is newer than the listing stays.
     pub fn retain(&mut self, prefix: &str, keep: &BTreeSet<&str>) {
-        let gone = |key: &&String| key.starts_with(prefix) && !keep.contains(key.as_str());
-        let keys: Vec<String> = self.entries.keys().filter(gone).cloned().collect();
+        let horizon = self.horizons.get(prefix).copied().unwrap_or(u64::MAX);
+        let gone = |(key, entry): (&String, &Entry)| {
+            let listed = !key.starts_with(prefix) || keep.contains(key.as_str());
+            (!listed && entry.mod_revision <= horizon).then(|| key.clone())
+        };
+        let keys: Vec<String> = self.entries.iter().filter_map(gone).collect();
         for key in keys {
             self.remove(&key);
         }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -235,8 +235,8 @@
     });
 }
 
-/// Entries of ours that the peer does not have.
-fn newer(shared: &Shared, pull: &peer::Pull) -> Vec<peer::Entry> {
+/// Entries of ours that the peer does not have, and what it has but should not.
+fn newer(shared: &Shared, pull: &peer::Pull) -> peer::Push {
     let have: std::collections::HashMap<&str, u64> = pull
         .have
         .iter()
@@ -247,11 +247,18 @@
         have.get(entry.key.as_str())
             .is_none_or(|known| *known < entry.mod_revision)
     });
-    missing
-        .map(|entry| peer::Entry {
-            key: entry.key.clone(),
-            modified: entry.mod_revision,
-            value: entry.value.clone(),
-        })
-        .collect()
+    let entries = missing.map(|entry| peer::Entry {
+        key: entry.key.clone(),
+        modified: entry.mod_revision,
+        value: entry.value.clone(),
+    });
+    let gone = pull.have.iter().filter_map(|version| {
+        let modified = config.gone_since(&version.key, version.modified)?;
+        let key = version.key.clone();
+        Some(peer::Version { key, modified })
+    });
+    peer::Push {
+        entries: entries.collect(),
+        gone: gone.collect(),
+    }
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -28,7 +28,6 @@
 use crate::metric::Direction;
 use crate::metric::Metrics;
 use crate::peer::Body;
-use crate::peer::Entry;
 use crate::peer::Pull;
 use crate::peer::Push;
 use crate::wire;
@@ -131,7 +130,7 @@
     }
 
     /// Asks a peer for everything newer than what is here.
-    pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Vec<Entry>> {
+    pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Push> {
         let exchange = async {
             let stream = TcpStream::connect(peer).await.map_err(|e| io(peer, e))?;
             let mut framed = framed(stream);
@@ -148,7 +147,7 @@
                 .ok_or_else(|| unanswered(peer, "closed"))?;
             let answer = answer.map_err(|e| io(peer, e))?;
             match self.open(peer, &answer)?.body {
-                Body::Push(push) => Ok(push.entries),
+                Body::Push(push) => Ok(push),
                 _ => Err(unanswered(peer, "another message")),
             }
         };
@@ -156,12 +155,12 @@
         answer.unwrap_or_else(|_| Err(unanswered(peer, "timeout")))
     }
 
-    /// Serves one peer's question from `entries`, which returns what is newer.
+    /// Serves one peer's question from `copies`, which returns what is newer.
     pub(crate) async fn serve(
         self: Arc<Self>,
         stream: TcpStream,
         peer: SocketAddr,
-        entries: impl Fn(Pull) -> Vec<Entry>,
+        copies: impl Fn(Pull) -> Push,
     ) -> Result<()> {
         let exchange = async {
             let mut framed = framed(stream);
@@ -174,9 +173,7 @@
             let Body::Pull(pull) = frame.body else {
                 return Err(unanswered(peer, "another message"));
             };
-            let push = Push {
-                entries: entries(pull),
-            };
+            let push = copies(pull);
             let answer = self.seal(frame.from.instance.as_str(), Body::Push(push));
             self.metrics
                 .peer_message("push", Direction::Sent, answer.len());
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -231,6 +231,10 @@
     /// The values.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
+    /// Keys of the asker that do not exist any more, each with a modification
+    /// number up to which that is known.
+    #[prost(message, repeated, tag = "2")]
+    pub gone: Vec<Version>,
 }
 
 /// One value of the platform.
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -66,7 +66,7 @@
     /// A write of the slice table has ended.
     Written { document: u32, written: Written },
     /// A peer's copies.
-    Pulled(Vec<peer::Entry>),
+    Pulled(peer::Push),
 }
 
 /// The control task's own state, beside what is shared.
@@ -135,19 +135,22 @@
                 self.shared.control().written(now, document, written);
                 self.plan();
             }
-            Told::Pulled(entries) => {
-                for entry in entries {
-                    self.put(now, &unpack(entry));
-                }
-            }
+            Told::Pulled(push) => self.take_copies(now, push),
         }
     }
 
     fn take_update(&mut self, now: Instant, prefix: &str, update: Update) {
         match update {
-            Update::Reset { entries, at, .. } => {
+            Update::Reset {
+                entries,
+                revision,
+                at,
+            } => {
                 let keep: BTreeSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
-                self.shared.config().retain(prefix, &keep);
+                let mut config = self.shared.config();
+                config.told(prefix, revision);
+                config.retain(prefix, &keep);
+                drop(config);
                 if prefix == OURS {
                     self.shared.control().retain(&keep);
                 }
@@ -157,11 +160,9 @@
                 }
                 self.changed = true;
             }
-            Update::Change(Change::Put(entry)) => self.put(now, &entry),
-            Update::Change(Change::Delete { key, .. }) => {
-                self.shared.config().remove(&key);
-                self.shared.control().remove(&key);
-                self.changed = true;
+            Update::Change(change) => {
+                self.shared.config().told(prefix, change.mod_revision());
+                self.take_change(now, &change);
             }
             Update::Silent { .. } => {
                 if prefix == OURS {
@@ -173,6 +174,31 @@
         }
     }
 
+    fn take_change(&mut self, now: Instant, change: &Change) {
+        match change {
+            Change::Put(entry) => self.put(now, entry),
+            Change::Delete { key, .. } => {
+                self.shared.config().remove(key);
+                self.shared.control().remove(key);
+                self.changed = true;
+            }
+        }
+    }
+
+    fn take_copies(&mut self, now: Instant, push: peer::Push) {
+        for version in push.gone {
+            let mut config = self.shared.config();
+            self.changed |= config.remove_copy(&version.key, version.modified);
+        }
+        for entry in push.entries {
+            let entry = unpack(entry);
+            let newer = self.shared.config().put_copy(&entry);
+            if newer {
+                self.apply(now, &entry);
+            }
+        }
+    }
+
     fn contact(&self, prefix: &str, at: Instant) {
         if prefix == OURS {
             self.shared.control().contact(at);
@@ -180,9 +206,13 @@
     }
 
     fn put(&mut self, now: Instant, entry: &Entry) {
-        if !self.shared.config().put(entry) {
-            return;
+        let newer = self.shared.config().put(entry);
+        if newer {
+            self.apply(now, entry);
         }
+    }
+
+    fn apply(&mut self, now: Instant, entry: &Entry) {
         if entry.key.starts_with(SLICES) || entry.key.starts_with(INSTANCES) {
             self.shared.control().store(now, entry);
         } else {
@@ -242,8 +272,8 @@
         let log = self.shared.log.clone();
         tokio::spawn(async move {
             match link.pull(address.0, peer::Pull { have }).await {
-                Ok(entries) => {
-                    let _ = told.send(Told::Pulled(entries));
+                Ok(push) => {
+                    let _ = told.send(Told::Pulled(push));
                 }
                 Err(error) => debug!(log, "no copies"; "error" => %error),
             }
