Double the pause of a server that goes on refusing

Cause: a server that says only by its refusals that it is leaving got new work from each instance every two seconds for good, and a burst of it each time. Ruled out: taking a refusal for leaving (an overloaded server refuses too, and nothing but asking tells when it is well again). Change: the pause doubles, up to 16 s, while the server handles nothing, and one request at a time tries it.

--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -42,9 +42,6 @@
 /// How long copies are expected for a service whose profile is not known here.
 const DEFAULT_COPY_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Shortest pause given to a server that refused.
-const LEAST_PAUSE: Duration = Duration::from_millis(200);
-
 impl Engine {
     pub(super) fn record(&mut self, slice: id::Slice, key: &Key) -> Option<&mut Record> {
         self.slices.get_mut(&slice)?.records.get_mut(key)
@@ -314,8 +311,7 @@
 
     fn pause(&mut self, now: Instant, server: &Server, retry_after: Option<u32>) {
         let asked = Duration::from_secs(retry_after.unwrap_or(0).into());
-        let pause = asked.clamp(LEAST_PAUSE, Duration::from_secs(2));
-        server.state().paused_until = Some(now + pause);
+        server.refuse(now, asked);
         self.note(Reason::ServerPaused);
     }
 
@@ -330,7 +326,7 @@
         let Some(sending) = self.drop_sending(attempt) else {
             return;
         };
-        sending.server.state().failures = 0;
+        sending.server.succeed();
         let Some(record) = self.record(slice, key) else {
             return;
         };
--- a/src/server.rs
+++ b/src/server.rs
@@ -14,6 +14,15 @@
 use crate::document::State as Listed;
 use crate::id;
 
+/// Shortest first pause given to a server that refused.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest first pause; a server that asks for more is tried all the same.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Times that the pause doubles while it goes on refusing.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// A backend server that may be chosen for work.
 #[derive(Debug)]
 pub struct Server {
@@ -59,6 +68,8 @@
     pub ejected_until: Option<Instant>,
     /// Until when it has asked for a pause.
     pub paused_until: Option<Instant>,
+    /// Refusals since it last handled anything, those of one pause as one.
+    pub refusals: u32,
 }
 
 impl Server {
@@ -84,6 +95,7 @@
                 failures: 0,
                 ejected_until: None,
                 paused_until: None,
+                refusals: 0,
             }),
         }
     }
@@ -110,6 +122,29 @@
         state.up_since = None;
     }
 
+    /// Notes that it refused work and wants a pause.
+    ///
+    /// A server that is leaving may say so by its refusals alone. Pauses that
+    /// double, with one trial after each, let it have almost no new work, and one
+    /// that was merely overloaded is found again.
+    pub fn refuse(&self, now: Instant, asked: Duration) {
+        let mut state = self.state();
+        // Several requests may have been on their way when it began to refuse.
+        if state.paused_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let pause = asked.clamp(LEAST_PAUSE, LONGEST_PAUSE) * 2u32.pow(state.refusals);
+        state.paused_until = Some(now + pause);
+        state.refusals = (state.refusals + 1).min(MAX_DOUBLINGS);
+    }
+
+    /// Notes that it handled something.
+    pub fn succeed(&self) {
+        let mut state = self.state();
+        state.failures = 0;
+        state.refusals = 0;
+    }
+
     /// Notes a failure; the caller of this decides about ejection.
     pub fn fail(&self) -> u32 {
         let mut state = self.state();
@@ -137,7 +172,12 @@
 
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now)
+        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now) && !self.is_on_trial()
+    }
+
+    /// Whether one request is finding out if it still refuses.
+    fn is_on_trial(&self) -> bool {
+        self.refusals > 0 && self.outstanding > 0
     }
 
     /// Requests in progress, everyone's.
