Stop using an address as soon as its process has ended

Cause: a health answer vouched for an address for up to 1.5 s, and until the next check requests went to whatever had taken the address over. The other service refused them by the name in the request, and callers got that refusal as their answer. Ruled out: a shorter interval (it narrows the gap and multiplies the checks). Change: an answer counts only while a connection to the health port that was opened before the question stays open; its end takes the confirmation away at once and asks anew. The stand-in's connections end with it, as those of a process do. Conclusion: a machine that vanishes without closing its connections is still covered by the confirmation's time alone.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 
 use slog::Logger;
 use slog::debug;
+use slog::error;
 use slog::info;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -302,13 +303,22 @@
 }
 
 async fn check_health(shared: Arc<Shared>) {
-    let client = reqwest::Client::new();
     let settings = shared.settings.probe;
+    let prober = match probe::Prober::new(settings) {
+        Ok(prober) => prober,
+        Err(error) => {
+            error!(shared.log, "no health checks"; "error" => %error);
+            return;
+        }
+    };
     let mut rounds = tokio::time::interval(settings.interval());
     loop {
-        rounds.tick().await;
+        tokio::select! {
+            _ = rounds.tick() => {}
+            () = prober.lost() => {}
+        }
         let servers = shared.config().servers().map(Arc::clone).collect();
-        probe::round(&client, &settings, servers).await;
+        prober.round(servers).await;
     }
 }
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::document::Profile;
 use crate::document::State as Listed;
@@ -39,6 +40,8 @@
     /// Requests that it runs at once.
     pub slots: u32,
     state: Mutex<State>,
+    /// Ends with the server.
+    witness: Mutex<Option<AbortOnDropHandle<()>>>,
 }
 
 /// What is known of a server right now.
@@ -58,6 +61,8 @@
     pub drained: bool,
     /// Whether its own health answer says that it is leaving.
     pub draining: bool,
+    /// Whether a connection is open whose end tells of the process's end.
+    pub witnessed: bool,
     /// Until when the address is known to run the listed service.
     pub confirmed_until: Option<Instant>,
     /// When it was first confirmed; the start of its slow start.
@@ -82,6 +87,7 @@
             address: listed.address,
             health: listed.health,
             slots: listed.slots.max(1),
+            witness: Mutex::default(),
             state: Mutex::new(State {
                 outstanding: 0,
                 elsewhere: 0,
@@ -90,6 +96,7 @@
                 listed: listed.state,
                 drained: false,
                 draining: false,
+                witnessed: false,
                 confirmed_until: None,
                 up_since: None,
                 failures: 0,
@@ -115,6 +122,28 @@
         state.up_since.get_or_insert(now);
     }
 
+    /// As [`Server::confirm`], unless the process that answered may have ended
+    /// since: its address may be another service's by now.
+    pub(crate) fn confirm_witnessed(&self, asked: Instant, valid: Duration) {
+        if self.state().witnessed {
+            self.confirm(asked, valid);
+        }
+    }
+
+    /// Keeps the task that waits for the end of the process.
+    pub(crate) fn keep_witness(&self, witness: AbortOnDropHandle<()>) {
+        let mut kept = self.witness.lock().unwrap_or_else(|lock| lock.into_inner());
+        *kept = Some(witness);
+    }
+
+    /// Notes that the process may have ended. What is known of its speed stays,
+    /// since most often only an idle connection was closed.
+    pub(crate) fn lose_witness(&self) {
+        let mut state = self.state();
+        state.witnessed = false;
+        state.confirmed_until = None;
+    }
+
     /// Notes that the address runs something else.
     pub fn disown(&self) {
         let mut state = self.state();
--- a/standin/src/health.rs
+++ b/standin/src/health.rs
@@ -50,7 +50,7 @@
     drop(shared);
     let service = routes.into_make_service_with_connect_info::<Line>();
     // Serving ends only with the task.
-    let _ = axum::serve(Gate(listener), service).await;
+    let _ = axum::serve(Gate::new(listener), service).await;
 }
 
 async fn health(
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -219,7 +219,7 @@
         .with_state(shared);
     let service = routes.into_make_service_with_connect_info::<Line>();
     // Serving ends only with the task.
-    let _ = axum::serve(Gate(listener), service).await;
+    let _ = axum::serve(Gate::new(listener), service).await;
 }
 
 async fn expire(shared: Arc<Shared>) {
