--- a/examples/demo/deployment.rs
+++ b/examples/demo/deployment.rs
@@ -51,6 +51,8 @@
     status: SocketAddr,
     listeners: BTreeMap<&'static str, SocketAddr>,
     handle: daemon::Handle,
+    /// Writes the log out when the instance goes.
+    _flush: log::Flush,
 }
 
 /// One backend server with its place.
@@ -163,7 +165,7 @@
         }
         let text = self.settings(&name, zone, status, &listeners)?;
         let settings = settings::Daemon::parse(Path::new("demo.jsonc"), &text)?;
-        let logger = log::logger(&settings.log);
+        let (logger, flush) = log::logger(&settings.log);
         let handle = daemon::start(settings, logger).await?;
         for (service, address) in &listeners {
             self.fabrics[service].add(*address);
@@ -173,6 +175,7 @@
             status,
             listeners,
             handle,
+            _flush: flush,
         });
         Ok(())
     }
@@ -246,7 +249,7 @@
     /// Stops an instance gracefully; the fabric learns of it a second late.
     pub(crate) async fn stop_instance(&mut self, place: usize) -> daemon::Stopped {
         const LATE: Duration = Duration::from_secs(1);
-        let instance = self.instances.remove(place);
+        let mut instance = self.instances.remove(place);
         let forget = async {
             sleep(LATE).await;
             for (service, address) in &instance.listeners {
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -444,15 +444,22 @@
             .map(|(slice, row)| (slice, row.clone()))
             .collect();
         for (slice, row) in rows {
-            let continued = before
-                .get(slice)
-                .is_some_and(|before| row.continues(before));
-            self.take_row(now, slice, row, continued);
+            let known = before.get(slice);
+            let continued = known.is_some_and(|known| row.continues(known));
+            let former = known.and_then(|known| known.home.clone());
+            self.take_row(now, slice, row, continued, former);
         }
         self.unpark(now);
     }
 
-    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, continued: bool) {
+    fn take_row(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        row: Row,
+        continued: bool,
+        former: Option<id::Holder>,
+    ) {
         let state = self.slices.entry(slice).or_default();
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
@@ -464,6 +471,7 @@
         if row.is_home(&self.settings.me) {
             state.role = Role::Home;
             if before != Role::Home {
+                state.former = former;
                 self.become_home(slice);
             }
             self.take_backup(now, slice, row.backup);
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::document::Profile;
 use crate::document::State as Listed;
@@ -22,6 +23,14 @@
 /// Answers "not found" in a row, while health is silent, after which an address
 /// is no longer taken to run the service.
 const MAX_DOUBTS: u32 = 3;
+/// Shortest first pause given to a server that refused.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest first pause; a server that asks for more is tried all the same.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Times that the pause doubles while it goes on refusing.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// A backend server that may be chosen for work.
 #[derive(Debug)]
@@ -39,6 +48,8 @@
     /// Requests that it runs at once.
     pub slots: u32,
     state: Mutex<State>,
+    /// Ends with the server.
+    witness: Mutex<Option<AbortOnDropHandle<()>>>,
 }
 
 /// What is known of a server right now.
@@ -58,6 +69,8 @@
     pub drained: bool,
     /// Whether its own health answer says that it is leaving.
     pub draining: bool,
+    /// Whether a connection is open whose end tells of the process's end.
+    pub witnessed: bool,
     /// Until when the address is known to run the listed service.
     pub confirmed_until: Option<Instant>,
     /// Until when the last health answer counts.
@@ -77,6 +90,8 @@
     pub ejected_until: Option<Instant>,
     /// Until when it has asked for a pause.
     pub paused_until: Option<Instant>,
+    /// Refusals since it last handled anything, those of one pause as one.
+    pub refusals: u32,
 }
 
 impl Server {
@@ -89,6 +104,7 @@
             address: listed.address,
             health: listed.health,
             slots: listed.slots.max(1),
+            witness: Mutex::default(),
             state: Mutex::new(State {
                 outstanding: 0,
                 elsewhere: 0,
@@ -97,6 +113,7 @@
                 listed: listed.state,
                 drained: false,
                 draining: false,
+                witnessed: false,
                 confirmed_until: None,
                 healthy_until: None,
                 doubts: 0,
@@ -106,6 +123,7 @@
                 failures: 0,
                 ejected_until: None,
                 paused_until: None,
+                refusals: 0,
             }),
         }
     }
@@ -159,6 +177,28 @@
         }
     }
 
+    /// As [`Server::confirm`], unless the process that answered may have ended
+    /// since: its address may be another service's by now.
+    pub(crate) fn confirm_witnessed(&self, asked: Instant, valid: Duration) {
+        if self.state().witnessed {
+            self.confirm(asked, valid);
+        }
+    }
+
+    /// Keeps the task that waits for the end of the process.
+    pub(crate) fn keep_witness(&self, witness: AbortOnDropHandle<()>) {
+        let mut kept = self.witness.lock().unwrap_or_else(|lock| lock.into_inner());
+        *kept = Some(witness);
+    }
+
+    /// Notes that the process may have ended. What is known of its speed stays,
+    /// since most often only an idle connection was closed.
+    pub(crate) fn lose_witness(&self) {
+        let mut state = self.state();
+        state.witnessed = false;
+        state.confirmed_until = None;
+    }
+
     /// Notes that the address runs something else.
     pub fn disown(&self) {
         let mut state = self.state();
@@ -167,6 +207,29 @@
         state.up_since = None;
     }
 
+    /// Notes that it refused work and wants a pause.
+    ///
+    /// A server that is leaving may say so by its refusals alone. Pauses that
+    /// double, with one trial after each, let it have almost no new work, and one
+    /// that was merely overloaded is found again.
+    pub fn refuse(&self, now: Instant, asked: Duration) {
+        let mut state = self.state();
+        // Several requests may have been on their way when it began to refuse.
+        if state.paused_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let pause = asked.clamp(LEAST_PAUSE, LONGEST_PAUSE) * 2u32.pow(state.refusals);
+        state.paused_until = Some(now + pause);
+        state.refusals = (state.refusals + 1).min(MAX_DOUBLINGS);
+    }
+
+    /// Notes that it handled something.
+    pub fn succeed(&self) {
+        let mut state = self.state();
+        state.failures = 0;
+        state.refusals = 0;
+    }
+
     /// Notes a failure; the caller of this decides about ejection.
     pub fn fail(&self) -> u32 {
         let mut state = self.state();
@@ -201,7 +264,12 @@
 
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now)
+        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now) && !self.is_on_trial()
+    }
+
+    /// Whether one request is finding out if it still refuses.
+    fn is_on_trial(&self) -> bool {
+        self.refusals > 0 && self.outstanding > 0
     }
 
     /// Requests in progress, everyone's.
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -174,12 +174,15 @@
         let _ = self.senders[worker].send(Input::Event(event));
     }
 
-    /// Gives a server's answer to the worker whose sending it answers.
-    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) {
+    /// Gives a server's answer to the worker whose sending it answers; tells
+    /// whether there is such a worker.
+    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) -> bool {
         let worker = (attempt.0 >> ATTEMPT_BITS) as usize;
-        if worker < self.senders.len() {
+        let known = worker < self.senders.len();
+        if known {
             self.push(worker, input);
         }
+        known
     }
 
     /// Gives an event to all workers; waits for room, since none may miss it.
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -11,8 +11,10 @@
 use godwitreel::event::Event;
 use godwitreel::id;
 use godwitreel::reason::Reason;
+use godwitreel::request::Answer;
 use godwitreel::request::Kind;
 use godwitreel::request::Outcome;
+use godwitreel::request::Part;
 use godwitreel::request::Receipt;
 use godwitreel::server::Server;
 
@@ -30,6 +32,13 @@
 type Sent = (Arc<Server>, id::Attempt);
 
 /// A home without a backup, which forwards at once.
+/// A later part of an upload.
+const PART: Part = Part {
+    body: 1,
+    later: true,
+    upload: true,
+};
+
 fn alone() -> Pair {
     Pair::new(row(1, Some(&holder("a", 1)), None))
 }
@@ -206,7 +215,7 @@
         server.disown();
     }
     let mut part = lab::request(&lab::flow("dispatch", 1), 1, Kind::Idempotent);
-    part.part = true;
+    part.part = PART;
     let event = Event::Request {
         request: part,
         hops: 0,
@@ -221,13 +230,20 @@
     let mut first = None;
     for number in 0..20 {
         let mut part = lab::request(&lab::flow("dispatch", 1), number, Kind::Idempotent);
-        part.part = true;
+        part.part = Part {
+            later: number > 0,
+            ..PART
+        };
         let event = Event::Request {
             request: part,
             hops: 0,
         };
         let asked = sent(&pair.home.handle(pair.now, event));
-        pair.answer(&asked, answer("next"));
+        let next = Answer {
+            more: true,
+            ..answer("next")
+        };
+        pair.answer(&asked, next);
         let server = first.get_or_insert_with(|| Arc::clone(&asked.0));
         assert_eq!(server.id, asked.0.id);
         server.state().draining = true;
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -66,8 +66,8 @@
     let url = format!("http://{status}/status");
     for _ in 0..3 {
         let settings = parse(&text);
-        let logger = log::logger(&settings.log);
-        let handle = daemon::start(settings, logger).await.expect("a start");
+        let (logger, _flush) = log::logger(&settings.log);
+        let mut handle = daemon::start(settings, logger).await.expect("a start");
         until_workers(3).await;
         let answer = monitor.get(&url).send().await.expect("a status");
         assert!(answer.status().is_success());
@@ -76,7 +76,7 @@
         assert_eq!(workers(), 0);
     }
     let settings = parse(&text);
-    let logger = log::logger(&settings.log);
+    let (logger, _flush) = log::logger(&settings.log);
     let handle = daemon::start(settings, logger).await.expect("a start");
     until_workers(3).await;
     handle.abort();
