--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -207,7 +207,7 @@
         }) * 1e3
     });
     fit::report(
-        "time of the digest, at each heartbeat sent and taken",
+        "time of the digest, taken at each heartbeat",
         "ms by servers",
         &time,
     );
@@ -405,7 +405,7 @@
         })
         .collect();
     fit::report(
-        "list of live peers, made at each heartbeat taken",
+        "list of live peers, made at a look after heartbeats",
         "us by peers",
         &listed,
     );
