--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -444,12 +444,12 @@
     fn step(&mut self, what: What) {
         match what {
             What::Arrival => self.arrival(),
-            What::ToHome { home, number, hops } => self.to_home(home, number, hops),
+            What::ToHome { home, number, hops } => self.reach_home(home, number, hops),
             What::Peer { to, from, body } => {
                 let from = self.homes[from].holder.clone();
                 self.peer(to, from, body);
             }
-            What::ToServer { server, job } => self.to_server(server, job),
+            What::ToServer { server, job } => self.reach_server(server, job),
             What::Done { server, life, job } => self.done(server, life, job),
             What::FromServer {
                 home,
@@ -582,7 +582,7 @@
         })
     }
 
-    fn to_home(&mut self, home: usize, number: u64, hops: u32) {
+    fn reach_home(&mut self, home: usize, number: u64, hops: u32) {
         if let Some(request) = self.request(number) {
             self.feed(home, Event::Request { request, hops });
         }
@@ -590,7 +590,7 @@
 
     fn peer(&mut self, to: usize, from: id::Holder, body: Body) {
         match body {
-            Body::Relay(relay) => self.to_home(to, number(&relay.datagram), relay.hops),
+            Body::Relay(relay) => self.reach_home(to, number(&relay.datagram), relay.hops),
             body => self.feed(to, Event::Peer { from, body }),
         }
     }
@@ -780,7 +780,7 @@
         );
     }
 
-    fn to_server(&mut self, server: usize, job: Job) {
+    fn reach_server(&mut self, server: usize, job: Job) {
         let open = self.calls.get(&job.number).map(|call| call.kind) == Some(Kind::Open);
         let model = &mut self.models[server];
         if !model.up {
