--- a/examples/policy/rounds.rs
+++ b/examples/policy/rounds.rs
@@ -332,7 +332,7 @@
 ];
 
 fn ejection() {
-    let columns = join(&[&RECOVERY[..3], &BROKEN[..3], &EJECTIONS]);
+    let columns = join(&[&RECOVERY[..3], &BROKEN[..3], &EJECTIONS, &TRUTH[1..]]);
     measure::head(
         "Abay, 60 %, twelve of 15 servers lose 40 % of their answers, seconds 20 to 40",
         &columns,
@@ -409,7 +409,7 @@
 
 fn health() {
     let columns = join(&[
-        &EJECTIONS,
+        &TRUTH[1..],
         &[("good %", Measure::good)],
         &BROKEN,
         &[("misdirected", |run: &Measure| run.misdirected as f64)],
