Give no address twice to the instances of a test

Seen: 1 of 10 runs of tests/blocks.rs failed while other builds ran: a daemon refused its settings, since one port had been drawn for two of its addresses. Cause: a drawn port is free again until its daemon binds it. Change: drawn addresses are remembered for the life of the process.

--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -3,12 +3,14 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use godwitreel::status::Status;
@@ -87,12 +89,17 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
+/// Addresses that were given to instances of this process.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
 /// An address that is free for UDP and TCP right now.
 fn free_address() -> SocketAddr {
     loop {
         let udp = std::net::UdpSocket::bind(local()).expect("bind");
         let address = udp.local_addr().expect("address");
-        if std::net::TcpListener::bind(address).is_ok() {
+        let free = std::net::TcpListener::bind(address).is_ok();
+        // The system may name a port again before its first receiver has bound it.
+        if free && GIVEN.lock().expect("no panic").insert(address) {
             return address;
         }
     }
