--- a/examples/demo/deployment.rs
+++ b/examples/demo/deployment.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and entry instances, started together.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -67,6 +68,7 @@
     servers: BTreeMap<String, Backend>,
     pub(crate) instances: Vec<Instance>,
     client: reqwest::Client,
+    given: BTreeSet<SocketAddr>,
 }
 
 /// What the backend servers counted.
@@ -82,17 +84,6 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
-/// An address that is free for UDP and TCP right now.
-fn free_address() -> Result<SocketAddr, Failure> {
-    loop {
-        let udp = std::net::UdpSocket::bind(local()).map_err(Failure::at("socket"))?;
-        let address = udp.local_addr().map_err(Failure::at("socket"))?;
-        if std::net::TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 fn envelope(revision: u64, body: &Value) -> String {
     json!({"revision": revision, "operator": "demo", "write_id": "demo", "body": body}).to_string()
 }
@@ -107,6 +98,7 @@
             servers: BTreeMap::new(),
             instances: Vec::new(),
             client: reqwest::Client::new(),
+            given: BTreeSet::new(),
         };
         deployment.change_profile(1, &json!({}));
         for (service, count) in SERVICES {
@@ -154,12 +146,25 @@
         self.platform.put(&key, listed.to_string());
     }
 
+    /// An address that is free for UDP and TCP right now. The system may name a port
+    /// again before its first receiver has bound it, so the given ones are kept.
+    fn free_address(&mut self) -> Result<SocketAddr, Failure> {
+        loop {
+            let udp = std::net::UdpSocket::bind(local()).map_err(Failure::at("socket"))?;
+            let address = udp.local_addr().map_err(Failure::at("socket"))?;
+            let free = std::net::TcpListener::bind(address).is_ok();
+            if free && self.given.insert(address) {
+                return Ok(address);
+            }
+        }
+    }
+
     async fn add_instance(&mut self, zone: &str) -> Result<(), Failure> {
         let name = format!("{zone}-1");
-        let status = free_address()?;
+        let status = self.free_address()?;
         let mut listeners = BTreeMap::new();
         for (service, _) in SERVICES {
-            listeners.insert(service, free_address()?);
+            listeners.insert(service, self.free_address()?);
         }
         let text = self.settings(&name, zone, status, &listeners)?;
         let settings = settings::Daemon::parse(Path::new("demo.jsonc"), &text)?;
@@ -178,13 +183,13 @@
     }
 
     fn settings(
-        &self,
+        &mut self,
         name: &str,
         zone: &str,
         status: SocketAddr,
         listeners: &BTreeMap<&'static str, SocketAddr>,
     ) -> Result<String, Failure> {
-        let peer = free_address()?;
+        let peer = self.free_address()?;
         let platform = self.platform.address();
         let listeners = json!(listeners);
         Ok(format!(
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon program: its command line, its refusals and its logs.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -37,11 +39,16 @@
     command
 }
 
+/// Addresses that were given to daemons of this process.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
 fn free_address() -> SocketAddr {
     loop {
         let udp = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
         let address = udp.local_addr().expect("address");
-        if TcpListener::bind(address).is_ok() {
+        let free = TcpListener::bind(address).is_ok();
+        // The system may name a port again before its first receiver has bound it.
+        if free && GIVEN.lock().expect("no panic").insert(address) {
             return address;
         }
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -55,7 +55,13 @@
 async fn a_stopped_instance_leaves_nothing_behind() {
     let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into());
     let platform = platform.await.expect("platform");
-    let (peer, status) = (free_address(), free_address());
+    let peer = free_address();
+    let status = loop {
+        let status = free_address();
+        if status != peer {
+            break status;
+        }
+    };
     let text = format!(
         r#"{{"instance": "bole-1", "zone": "bole", "peer": "{peer}", "status": "{status}",
             "platform": ["http://{}"], "backend_bind": "127.0.0.1", "workers": 3,
