--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -298,10 +298,7 @@
 
 async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let router = http::router(Arc::clone(&shared));
-    // Each open connection is a task of its own, which would outlive this one and
-    // answer for an instance that has stopped.
-    let serving = axum::serve(listener, router).with_graceful_shutdown(shared.closing());
-    if let Err(error) = serving.await {
+    if let Err(error) = axum::serve(listener, router).await {
         info!(shared.log, "status port closed"; "error" => %error);
     }
 }
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -13,7 +13,6 @@
 use slog::Logger;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use tokio_util::sync::WaitForCancellationFutureOwned;
 use tokio_util::task::TaskTracker;
 
 use crate::config::Config;
@@ -84,11 +83,6 @@
         });
     }
 
-    /// Resolves when the daemon ends.
-    pub(crate) fn closing(&self) -> WaitForCancellationFutureOwned {
-        self.closing.clone().cancelled_owned()
-    }
-
     /// Ends all tasks and workers.
     pub(crate) fn close(&self) {
         self.closing.cancel();
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -136,9 +136,9 @@
 
     /// Ends the workers; what they were given and have not taken is dropped.
     ///
-    /// Dropping the senders is not enough: whatever still holds them, such as an
-    /// open connection to the status port, would keep the engines running, and
-    /// they would go on to send for an instance that has stopped.
+    /// Dropping the senders is not enough: whatever still holds them would keep the
+    /// engines running, and they would go on to send for an instance that has
+    /// stopped.
     pub(crate) fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -77,6 +77,9 @@
         until_workers(3).await;
         let answer = monitor.get(&url).send().await.expect("a status");
         assert!(answer.status().is_success());
+        // Only a connection whose answer was read to its end is kept open.
+        let body = answer.text().await.expect("a body");
+        assert!(body.contains("bole-1"), "{body}");
         let stopped = handle.stop().await;
         assert_eq!(stopped.cut, 0);
         assert_eq!(workers(), 0);
