Move slices between zones only, so that no zone ever holds home and backup

Cause: evening out makes the less loaded instance the backup first, also one in the same zone; a cut of that zone in between took home and backup of 4 of 64 slices, whose callers got unknown until the outsider's wait was over (33 minutes). Ruled out: promotion itself (the other 60 moved), registration-bound authority. Change: the target is the least loaded instance of another zone where there is one.

--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -444,8 +444,7 @@
         let total: u32 = shares.values().map(|share| share.homes).sum();
         let mean = total / shares.len().max(1) as u32;
         let slack = (mean / 10).max(1);
-        let least = shares.iter().min_by_key(|(_, share)| share.homes);
-        let Some((least, share)) = least else {
+        let Some((least, share)) = self.least_loaded(shares) else {
             return;
         };
         self.migrating
@@ -460,10 +459,11 @@
         let free = |(slice, row): &(id::Slice, &Row)| {
             row.is_home(&self.settings.me) && !self.migrating.contains_key(slice)
         };
-        let slices: Vec<id::Slice> = self
-            .table
-            .rows()
-            .filter(free)
+        let mut slices: Vec<_> = self.table.rows().filter(free).collect();
+        // Those that it backs already need no other backup in between.
+        slices.sort_by_key(|(_, row)| row.backup.as_ref() != Some(least));
+        let slices: Vec<id::Slice> = slices
+            .into_iter()
             .take(room)
             .map(|(slice, _)| slice)
             .collect();
@@ -471,4 +471,14 @@
             self.migrating.insert(slice, least.clone());
         }
     }
+
+    /// The instance with the fewest slices, of another zone if there is one. Whoever
+    /// is to become home is the backup first; in the same zone, a cut of that zone
+    /// in between would take home and backup together.
+    fn least_loaded<'a>(&self, shares: &'a Shares) -> Option<(&'a id::Holder, &'a Share)> {
+        let far = |(_, share): &(&id::Holder, &Share)| share.zone != self.settings.zone;
+        let others = shares.iter().filter(far);
+        let least = others.min_by_key(|(_, share)| share.homes);
+        least.or_else(|| shares.iter().min_by_key(|(_, share)| share.homes))
+    }
 }
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -60,6 +60,7 @@
     let kept = pair.tell_backup(&refused);
     let told = pair.tell_home(&kept);
     assert_eq!(outcomes(&told), [Outcome::NotRun { retry_after: 2 }]);
+    pair.lose_home();
     let b = pair.b.clone();
     pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
     let request = request(&lab::flow("dispatch", 1), 2, Kind::Once);
@@ -215,6 +216,7 @@
     assert_eq!(forwards(&pair.book(1)).len(), 1);
     let copied = pair.join();
     pair.tell_backup(&copied);
+    pair.lose_home();
     pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
     let request = request(&lab::flow("dispatch", 1), 1, Kind::Once);
     let copy = pair
--- a/tests/lab/pair.rs
+++ b/tests/lab/pair.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// The backup does not hear the home any more.
+    pub(crate) fn lose_home(&mut self) {
+        let view = view(&[&self.b], self.now + super::FOREVER);
+        self.backup.handle(self.now, view);
+    }
+
     pub(crate) fn install(&mut self, row: Row) -> Vec<Action> {
         let mut actions = self.home.handle(self.now, table(row.clone()));
         actions.extend(self.backup.handle(self.now, table(row)));
