--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -168,6 +168,11 @@
     pub(crate) async fn add(&mut self, zone: &'static str) -> usize {
         self.started += 1;
         let name = format!("{zone}-{}", self.started);
+        self.add_as(zone, name).await
+    }
+
+    /// Starts one more entry instance under a name of the test's choice.
+    pub(crate) async fn add_as(&mut self, zone: &'static str, name: String) -> usize {
         let peer = free_address();
         let status = free_address();
         let listeners: BTreeMap<&'static str, SocketAddr> = self
