--- a/src/bin/godwitreel/app.rs
+++ b/src/bin/godwitreel/app.rs
@@ -7,6 +7,7 @@
 use bpaf::Parser;
 use bpaf::construct;
 use bpaf::long;
+use bpaf::parsers::NamedArg;
 use bpaf::positional;
 use godwitreel::id;
 use godwitreel::platform::Base;
@@ -160,7 +161,11 @@
 
 /// The parser of the whole command line.
 pub(crate) fn options() -> OptionParser<Line> {
-    let common = common();
+    let config = config()
+        .env("GODWITREEL_CONFIG")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let common = common(config);
     let call = call();
     construct!(Line { common, call })
         .to_options()
@@ -202,12 +207,12 @@
     ])
 }
 
-fn common() -> impl Parser<Common> {
-    let config = long("config")
-        .env("GODWITREEL_CONFIG")
-        .help("Settings file, JSON with comments")
-        .argument::<PathBuf>("FILE")
-        .optional();
+fn config() -> NamedArg {
+    long("config").help("Settings file, JSON with comments; else the one GODWITREEL_CONFIG names")
+}
+
+/// The options of every command, with this one for the settings file.
+fn common(config: impl Parser<Option<PathBuf>>) -> impl Parser<Common> {
     let platform = long("platform")
         .help("Address of the platform, http://IP:PORT; may be repeated")
         .argument::<Base>("URL")
@@ -217,7 +222,7 @@
         .argument::<id::Operator>("NAME")
         .optional();
     let output = long("output")
-        .help("table (default) or json")
+        .help("table (default) or json; usage errors are text in either case")
         .argument::<Output>("FORM")
         .optional();
     construct!(Common {
@@ -230,15 +235,26 @@
 
 /// A command without commands below it.
 fn leaf(action: impl Parser<Action> + 'static) -> OptionParser<Call> {
-    let common = common();
+    // The variable is read before the command only: read here too, it would count
+    // as an option after the command and hide one that stands before it.
+    let config = config().argument::<PathBuf>("FILE").optional();
+    let common = common(config);
     construct!(Call { common, action })
         .to_options()
         .footer(exit::HELP)
 }
 
+fn profile_name() -> impl Parser<id::Profile> {
+    positional("NAME").help("Name of the profile")
+}
+
+fn service_name() -> impl Parser<id::Service> {
+    positional("SERVICE").help("Name of the service")
+}
+
 fn wait() -> impl Parser<Option<Duration>> {
     let limit = long("wait")
-        .help("Wait until it is in force at every instance, 30 seconds unless given")
+        .help("Wait until it has taken effect; --wait alone waits 30 seconds")
         .argument::<u64>("SECONDS")
         .adjacent()
         .guard(|seconds| *seconds <= LONGEST_WAIT, "want 0 to 86400")
@@ -248,7 +264,7 @@
 }
 
 fn undo() -> impl Parser<bool> {
-    long("undo").help("Take the wish back").switch()
+    long("undo").help("Take the wish to drain back").switch()
 }
 
 fn profile() -> OptionParser<Call> {
@@ -258,8 +274,8 @@
             .argument::<id::Revision>("REVISION")
             .optional();
         let wait = wait();
-        let name = positional("NAME");
-        let file = positional("FILE");
+        let name = profile_name();
+        let file = positional("FILE").help("The profile, JSON with comments");
         leaf(
             construct!(Profile::Apply {
                 expect,
@@ -272,34 +288,30 @@
         .command("apply")
         .help("Write a profile from a file")
     };
-    let get = leaf(positional("NAME").map(Profile::Get).map(Action::Profile))
+    let get = leaf(profile_name().map(Profile::Get).map(Action::Profile))
         .command("get")
         .help("Show a profile");
     let list = leaf(bpaf::pure(Action::Profile(Profile::List)))
         .command("list")
         .help("Show all profiles");
     let diff = {
-        let name = positional("NAME");
-        let file = positional("FILE");
+        let name = profile_name();
+        let file = positional("FILE").help("The profile, JSON with comments");
         leaf(construct!(Profile::Diff { name, file }).map(Action::Profile))
             .command("diff")
             .help("Show how a file differs from a profile")
     };
-    let history = leaf(
-        positional("NAME")
-            .map(Profile::History)
-            .map(Action::Profile),
-    )
-    .command("history")
-    .help("Show a profile's last revisions");
+    let history = leaf(profile_name().map(Profile::History).map(Action::Profile))
+        .command("history")
+        .help("Show a profile's last revisions");
     construct!([apply, get, list, diff, history]).to_options()
 }
 
 fn service() -> OptionParser<Call> {
     let choose = {
         let wait = wait();
-        let service = positional("SERVICE");
-        let profile = positional("PROFILE");
+        let service = service_name();
+        let profile = positional("PROFILE").help("A profile that exists");
         leaf(
             construct!(Service::Choose {
                 wait,
@@ -312,9 +324,9 @@
         .help("Let a service use another profile")
     };
     let add = {
-        let service = positional("SERVICE");
-        let address = positional("ADDRESS");
-        let profile = positional("PROFILE");
+        let service = service_name();
+        let address = positional("ADDRESS").help("Where callers reach it, IP:PORT");
+        let profile = positional("PROFILE").help("A profile that exists");
         leaf(
             construct!(Service::Add {
                 service,
@@ -326,7 +338,7 @@
         .command("add")
         .help("Add a service")
     };
-    let get = leaf(positional("SERVICE").map(Service::Get).map(Action::Service))
+    let get = leaf(service_name().map(Service::Get).map(Action::Service))
         .command("get")
         .help("Show a service");
     let list = leaf(bpaf::pure(Action::Service(Service::List)))
@@ -338,7 +350,7 @@
 fn instance() -> OptionParser<Call> {
     let undo = undo();
     let wait = wait();
-    let name = positional("NAME");
+    let name = positional("NAME").help("Name of the instance");
     leaf(construct!(Drain::Instance { undo, wait, name }).map(Action::Drain))
         .command("drain")
         .help("Let an instance hand its slices over, or stay after all")
@@ -347,7 +359,7 @@
 
 fn server() -> OptionParser<Call> {
     let undo = undo();
-    let name = positional("NAME");
+    let name = positional("NAME").help("Name of the server");
     leaf(construct!(Drain::Server { undo, name }).map(Action::Drain))
         .command("drain")
         .help("Let a server take no new work, or take it again")
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -140,12 +140,18 @@
     tokio::time::timeout(SEEN_LIMIT, looking).await.unwrap();
 }
 
-/// Runs the program. It blocks a thread of its own, as the platform that it
-/// talks to runs on this runtime.
+/// Runs the program without a settings file in its environment.
 pub(crate) async fn run(arguments: Vec<&str>) -> Run {
+    run_with(None, arguments).await
+}
+
+/// Runs the program with this settings file named by the environment, if any. It blocks a thread of its own, as the platform that it
+/// talks to runs on this runtime.
+pub(crate) async fn run_with(config: Option<&str>, arguments: Vec<&str>) -> Run {
     let mut command = assert_cmd::cargo::cargo_bin_cmd!("godwitreel");
     command
         .env_remove("GODWITREEL_CONFIG")
+        .envs(config.map(|config| ("GODWITREEL_CONFIG", config)))
         .args(arguments)
         .timeout(RUN_LIMIT);
     let running = tokio::task::spawn_blocking(move || command.output().unwrap());
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::Bench;
 use crate::fleet::run;
+use crate::fleet::run_with;
 use crate::fleet::status;
 use crate::fleet::until;
 
@@ -352,6 +353,31 @@
     assert_eq!(waited.code, 4, "{waited:?}");
 }
 
+// The variable names a settings file, and the command line another one before the
+// command. What the operator has typed must count, or a change would go to another
+// platform than the one that was meant.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settings_file_on_the_command_line_counts_more_than_the_variable() {
+    let bench = Bench::start().await;
+    let platform = format!("http://{}", bench.platform.address());
+    let right = json!({ "platform": [platform] }).to_string();
+    let right = bench.file("right.jsonc", &right);
+    let wrong = bench.file("wrong.jsonc", "{ \"no_such_field\": 1 }");
+    let right = right.to_str().unwrap();
+    let wrong = wrong.to_str().unwrap();
+    for arguments in [
+        ["--config", right, "profile", "list"],
+        ["profile", "list", "--config", right],
+    ] {
+        let run = run_with(Some(wrong), arguments.to_vec()).await;
+        assert_eq!(run.code, 0, "{run:?}");
+    }
+    let run = run_with(Some(wrong), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    let run = run_with(Some(right), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
