Let no gap found beside the samples pass for health

Cause: registrations that cannot be read were added to the burn report after its verdicts were made, and the reason why the platform gave no list stood on standard error only, so that the report said "ok" with instances missing. Change: the report takes both in, and a service is "unknown-gap" at best; `unlisted` is a field of the JSON.

A plot that could not be written printed a second JSON value after the report. It is written first now, so that the failure is the only one.

--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -235,22 +235,24 @@
 }
 
 async fn burn(config: &Config, fleet: &Fleet, plot: Option<&Path>) -> Result<Exit> {
-    let gathered = query::burn::report(fleet, config.instance_timeout).await?;
-    let report = &gathered.report;
-    match config.output {
-        Output::Table => say(&report.text()),
-        Output::Json => say(&report.json()?),
-    }
-    if let Some(reason) = &gathered.unlisted {
-        eprintln!("godwitreel: there may be more instances: {reason}");
-    }
+    let report = query::burn::report(fleet, config.instance_timeout).await?;
+    let text = match config.output {
+        Output::Table => report.text(),
+        Output::Json => report.json()?,
+    };
+    // Before the report is printed: a failure prints a value of its own, and
+    // standard output must stay one JSON value.
     if let Some(path) = plot {
-        let written = std::fs::write(path, report.svg()?);
-        written.map_err(|source| Error::Io {
-            step: "write plot",
-            peer: path.display().to_string(),
-            source,
-        })?;
+        draw(path, &report.svg()?)?;
     }
-    Ok(Exit::whole(gathered.is_whole()))
+    say(&text);
+    Ok(Exit::whole(report.is_whole()))
+}
+
+fn draw(path: &Path, plot: &str) -> Result<()> {
+    std::fs::write(path, plot).map_err(|source| Error::Io {
+        step: "write plot",
+        peer: path.display().to_string(),
+        source,
+    })
 }
--- a/src/chart.rs
+++ b/src/chart.rs
@@ -49,6 +49,11 @@
             let (instance, reason) = (&gap.instance, &gap.reason);
             format!("gap: {instance} was not heard from: {reason}")
         }));
+        lines.extend(
+            self.unlisted
+                .iter()
+                .map(|reason| format!("gap: the list of instances may be incomplete: {reason}")),
+        );
         let services = self.services.iter();
         lines.extend(services.filter_map(|(service, line)| conflict(service, line)));
         lines.extend(self.short_cover());
--- a/src/merge.rs
+++ b/src/merge.rs
@@ -86,6 +86,9 @@
     pub heard: Vec<Heard>,
     /// Where none came from.
     pub gaps: Vec<Gap>,
+    /// Why the list of instances may be incomplete, if it may.
+    #[serde(default)]
+    pub unlisted: Option<String>,
     /// Services by name.
     pub services: BTreeMap<id::Service, Line>,
 }
@@ -112,16 +115,37 @@
                 .map(|(service, tallies)| (service, line(&tallies, blind)))
                 .collect(),
             gaps,
+            unlisted: None,
         }
     }
 
+    /// Adds what became known to be missing after the merge: instances that were
+    /// not heard, and a list of instances that may be incomplete. A service that
+    /// looked well before is not known to be.
+    pub fn miss(&mut self, gaps: Vec<Gap>, unlisted: Option<String>) {
+        if gaps.is_empty() && unlisted.is_none() {
+            return;
+        }
+        self.gaps.extend(gaps);
+        self.gaps.sort();
+        self.gaps.dedup();
+        self.unlisted = unlisted;
+        for line in self.services.values_mut() {
+            line.verdict = line.verdict.max(Verdict::UnknownGap);
+        }
+    }
+
+    /// Whether every instance was heard, and it is known which ones there are.
+    pub fn is_whole(&self) -> bool {
+        !self.heard.is_empty() && self.gaps.is_empty() && self.unlisted.is_none()
+    }
+
     /// The most urgent verdict; [`Verdict::UnknownGap`] if nobody was heard.
     pub fn worst(&self) -> Verdict {
-        let blind = self.heard.is_empty() || !self.gaps.is_empty();
-        let least = if blind {
-            Verdict::UnknownGap
-        } else {
+        let least = if self.is_whole() {
             Verdict::Ok
+        } else {
+            Verdict::UnknownGap
         };
         let verdicts = self.services.values().map(|line| line.verdict);
         verdicts.fold(least, Verdict::max)
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -300,6 +300,35 @@
     );
 }
 
+/// A registration that cannot be read, or a list that cannot be had, is found out
+/// beside the samples. The services must not go on looking well.
+#[test]
+fn what_is_missed_after_the_merge_is_not_health() {
+    let whole = || {
+        let counts = [(10, 0); 4];
+        Report::merge(&[sample("bole-1#1", 1, OBJECTIVE, counts)], Vec::new())
+    };
+    let mut report = whole();
+    report.miss(Vec::new(), None);
+    assert_eq!(
+        (line(&report).verdict, report.is_whole()),
+        (Verdict::Ok, true)
+    );
+    report.miss(vec![gap("kality-1")], None);
+    assert_eq!(line(&report).verdict, Verdict::UnknownGap);
+    assert_eq!(report.worst(), Verdict::UnknownGap);
+    assert!(!report.is_whole());
+    let mut report = whole();
+    report.miss(Vec::new(), Some("platform: no answer".to_owned()));
+    assert_eq!(line(&report).verdict, Verdict::UnknownGap);
+    assert!(!report.is_whole());
+    assert!(
+        report
+            .text()
+            .contains("may be incomplete: platform: no answer")
+    );
+}
+
 #[test]
 fn nothing_heard_is_not_health() {
     let none = Report::merge(&[], Vec::new());
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -378,6 +378,20 @@
     assert_eq!(run.code, 0, "{run:?}");
 }
 
+// The plot cannot be written. A program that reads the output must still find one
+// JSON value there, which says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plot_that_cannot_be_written_is_one_failure() {
+    let mut bench = Bench::start().await;
+    let fake = || status("bole-1", json!({}));
+    bench.instance("bole-1", fake).await;
+    let failed = bench
+        .run(&["report", "burn", "--plot", "/nowhere/burn.svg"])
+        .await;
+    assert_eq!(failed.code, 1, "{failed:?}");
+    assert_eq!(failed.json()["outcome"], "failed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
