Take an empty list of instances for no whole fleet

Cause: with no instance registered, status, explain and the burn report asked nobody, missed nobody and ended with 0. After an outage of the platform that is longer than the leases, the list is empty while all instances run. Before: the new test got exit code 0; after: 4 and the reason.

--- a/src/query/status.rs
+++ b/src/query/status.rs
@@ -26,7 +26,13 @@
 ///
 /// Fails when none is, since the platform gives no list.
 pub(crate) async fn known(fleet: &Fleet) -> Result<Members> {
-    let members = fleet.members().await;
+    let mut members = fleet.members().await;
+    // After an outage of the platform all leases may have lapsed, so that an
+    // empty list would pass for a fleet that is well.
+    if members.unlisted.is_none() && members.addresses.is_empty() {
+        members.unlisted = Some("none is registered".to_owned());
+        return Ok(members);
+    }
     match &members.unlisted {
         Some(reason) if members.addresses.is_empty() => Err(Error::Unreachable {
             step: "list instances",
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -392,6 +392,26 @@
     assert_eq!(failed.json()["outcome"], "failed");
 }
 
+// The platform was away for longer than the leases, so that its list is empty
+// though every instance runs. What is gathered from nobody must not look like a
+// fleet that is well.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_list_of_instances_is_not_the_whole_fleet() {
+    let bench = Bench::start().await;
+    let caller = [
+        "explain",
+        "--service",
+        "dispatch",
+        "--caller",
+        "127.0.0.1:9",
+    ];
+    for arguments in [&["status"][..], &["report", "burn"], &caller] {
+        let run = bench.run(arguments).await;
+        assert_eq!(run.code, 4, "{run:?}");
+        assert!(run.out.contains("none is registered"), "{run:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
