Take no instance for drained while it is home of slices

Its lease may have lapsed while the platform was away and the instance runs: the operator who stops it then leaves its slices without a home. Ruled out: asking the instance itself, as its address stands in the registration that has lapsed. Change: an instance that is not registered counts as drained when no row of the slice table names it as home. Before: the new test got exit code 0; after: 4 and the number of slices.

--- a/src/query/departure.rs
+++ b/src/query/departure.rs
@@ -6,6 +6,9 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::control::SLICES;
+use crate::error::Error;
+use crate::error::Result;
 use crate::fleet::Fleet;
 use crate::fleet::Gathered;
 use crate::fleet::Members;
@@ -13,6 +16,8 @@
 use crate::query::rollout::POLL_EVERY;
 use crate::query::status;
 use crate::status::Status;
+use crate::table::Document;
+use crate::table::Row;
 
 /// What an instance is to become.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -67,31 +72,63 @@
         .unreadable
         .retain(|silence| silence.instance == instance.as_str());
     let gathered = status::ask(fleet, &members).await;
-    judge(&members, &gathered, instance, goal)
+    match judge(&members, &gathered, instance, goal) {
+        Some(judged) => judged,
+        None if goal == Goal::Staying => (false, "not registered".to_owned()),
+        None => unregistered(fleet, instance).await,
+    }
+}
+
+/// Whether an instance that is not registered is gone. Its lease may just have
+/// lapsed while the platform was away; the slice table tells whether it would
+/// still decide for anything.
+async fn unregistered(fleet: &Fleet, instance: &id::Instance) -> (bool, String) {
+    match homes(fleet, instance).await {
+        Ok(0) => (true, "not registered".to_owned()),
+        Ok(homes) => (false, format!("not registered, but home of {homes} slices")),
+        Err(error) => (false, format!("not registered; slices not known: {error}")),
+    }
+}
+
+async fn homes(fleet: &Fleet, instance: &id::Instance) -> Result<usize> {
+    let listing = fleet.platform().list(SLICES).await?;
+    let is_home = |row: &&Row| row.home.as_ref().is_some_and(|h| h.instance == *instance);
+    let mut homes = 0;
+    for entry in &listing.entries {
+        let document: Document =
+            serde_json::from_slice(&entry.value).map_err(|error| Error::Decode {
+                step: "slices",
+                peer: entry.key.clone(),
+                reason: error.to_string(),
+            })?;
+        homes += document.rows.iter().filter(is_home).count();
+    }
+    Ok(homes)
 }
 
-/// Silence alone never counts as gone: an instance behind a broken link may
-/// still be home of its slices.
+/// Judges an instance that is listed, or that nobody can tell of. Silence alone
+/// never counts as gone: an instance behind a broken link may still be home of its
+/// slices.
 fn judge(
     members: &Members,
     gathered: &Gathered<Status>,
     instance: &id::Instance,
     goal: Goal,
-) -> (bool, String) {
+) -> Option<(bool, String)> {
     if let Some(status) = gathered.heard.get(instance) {
         let reached = match goal {
             Goal::Drained => status.leaving && status.homes == 0 && status.in_progress == 0,
             Goal::Staying => !status.leaving,
         };
-        return (reached, describe(status));
+        return Some((reached, describe(status)));
     }
     if let Some(silence) = gathered.silent.first() {
-        return (false, format!("not heard: {}", silence.reason));
+        return Some((false, format!("not heard: {}", silence.reason)));
     }
     if let Some(reason) = &members.unlisted {
-        return (false, format!("not heard: {reason}"));
+        return Some((false, format!("not heard: {reason}")));
     }
-    (goal == Goal::Drained, "not registered".to_owned())
+    None
 }
 
 fn describe(status: &Status) -> String {
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -412,6 +412,28 @@
     }
 }
 
+// An instance's lease has lapsed while the platform was away; it runs and is home
+// of a slice. An operator who believes that it is drained stops it, and the slice
+// is without a home.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_a_lease_is_not_drained_while_it_is_home() {
+    let bench = Bench::start().await;
+    let key = "godwitreel/slices/0";
+    let rows = |home: &str| {
+        let row = json!({ "e": 1, "h": home });
+        json!({ "write_id": "test", "rows": [row] }).to_string()
+    };
+    let drain = ["instance", "drain", "bole-1", "--wait=0"];
+    bench.platform.put(key, rows("bole-1#1"));
+    let waited = bench.run(&drain).await;
+    assert_eq!(waited.code, 4, "{waited:?}");
+    let seen = waited.json()["wait"]["seen"].to_string();
+    assert!(seen.contains("home of 1 slices"), "{seen}");
+    bench.platform.put(key, rows("bole-2#1"));
+    let gone = bench.run(&drain).await;
+    assert_eq!(gone.code, 0, "{gone:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
