Refuse the last revision there is like any other

Cause: the refused side is shown as the revision after the expected one, whose number overflowed; found by reading. Change: it stops at the last number.

--- a/src/command/profile.rs
+++ b/src/command/profile.rs
@@ -39,7 +39,8 @@
         .map_or(id::Revision(0), |found| found.revision);
     if let Some(expected) = expect.filter(|expected| *expected != revision) {
         let mut ours = change::next(current.as_ref(), operator, body);
-        ours.revision = id::Revision(expected.0 + 1);
+        // Any number may be expected on the command line, also the last one.
+        ours.revision = id::Revision(expected.0.saturating_add(1));
         return Ok(place.refuse(client, ours, found).await);
     }
     let mut change = place
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -157,6 +157,19 @@
     assert_eq!(bench.stored(KEY), Some(theirs));
 }
 
+// A slip of the pen makes the expected revision the last number that there is. The
+// change is refused like any other that expects the wrong one.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_expected_revision_can_be_refused() {
+    let bench = Bench::start().await;
+    let file = bench.profile(1_000);
+    let last = u64::MAX.to_string();
+    let arguments = ["profile", "apply", "open", &file, "--expect", &last];
+    let refused = bench.run(&arguments).await;
+    assert_eq!(refused.code, 2, "{refused:?}");
+    assert_eq!(bench.stored(KEY), None);
+}
+
 // An operator's change expects revision 1, but two more were accepted since. The
 // one to show is the first of them, which took the operator's place, and not
 // the latest, which may have nothing to do with it.
