--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -447,6 +447,47 @@
     assert_eq!(gone.code, 0, "{gone:?}");
 }
 
+// One instance follows the platform and another never gets the choice. The wait
+// must go by the service's revision, not the profile's, which both have already.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_choice_is_waited_for_at_every_instance() {
+    let mut bench = Bench::start().await;
+    let platform = bench.platform.clone();
+    let follow = move || {
+        let envelope = platform.get("godwitreel/services/dispatch");
+        let envelope: Value =
+            serde_json::from_slice(&envelope.unwrap_or_default()).unwrap_or_default();
+        let revisions = json!({ "profiles/calm": 1, "services/dispatch": envelope["revision"] });
+        status("bole-1", revisions)
+    };
+    bench.instance("bole-1", follow).await;
+    for name in ["open", "calm"] {
+        let file = bench.profile(1_000);
+        bench.run(&["profile", "apply", name, &file]).await;
+    }
+    let add = ["service", "add", "dispatch", "127.0.0.1:5683", "open"];
+    assert_eq!(bench.run(&add).await.code, 0);
+    let choose = ["service", "choose", "dispatch", "calm", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 0, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["wait"]["document"], "services/dispatch");
+    assert_eq!(waited["wait"]["revision"], 2);
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+
+    let revisions = json!({ "profiles/open": 1, "services/dispatch": 2 });
+    let late = move || status("bole-2", revisions.clone());
+    bench.instance("bole-2", late).await;
+    let choose = ["service", "choose", "dispatch", "open", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 4, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["outcome"], "accepted");
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+    let behind = json!([{ "instance": "bole-2", "revision": 2, "refused": null }]);
+    assert_eq!(waited["wait"]["behind"], behind);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
