--- a/src/render.rs
+++ b/src/render.rs
@@ -2,6 +2,7 @@
 //!
 //! JSON is the result itself; tables leave out what does not help at a glance.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
@@ -20,12 +21,14 @@
 use crate::error::Result;
 use crate::fleet::Gathered;
 use crate::fleet::Silence;
+use crate::id;
 use crate::query::departure::Departure;
 use crate::query::explain::Account;
 use crate::query::profile::Diff;
 use crate::query::profile::fields;
 use crate::query::rollout::Rollout;
 use crate::query::stored::Line;
+use crate::status;
 use crate::status::Status;
 
 /// In place of a value that is not there.
@@ -290,11 +293,67 @@
     }
     join([
         table.to_string(),
+        servers(gathered),
         documents(gathered),
         absent(&gathered.silent, gathered.unlisted.as_deref()),
     ])
 }
 
+/// What the instances together have at each backend server.
+fn servers(gathered: &Gathered<Status>) -> String {
+    let mut places: BTreeMap<&id::Server, Place<'_>> = BTreeMap::new();
+    let seen = gathered.heard.values().flat_map(|status| &status.servers);
+    for server in seen {
+        places.entry(&server.id).or_default().add(server);
+    }
+    let mut table = new([
+        "server",
+        "service",
+        "zone",
+        "takes work",
+        "leaving",
+        "requests",
+        "feeds",
+    ]);
+    for (name, place) in &places {
+        table.add_row([
+            name.to_string(),
+            optional(place.last.map(|server| &server.service)),
+            optional(place.last.map(|server| &server.zone)),
+            format!("at {} of {}", place.takes_work, place.seen),
+            format!("at {} of {}", place.leaving, place.seen),
+            place.requests.to_string(),
+            place.feeds.to_string(),
+        ]);
+    }
+    match table.row_count() {
+        0 => String::new(),
+        _ => table.to_string(),
+    }
+}
+
+/// A backend server in the eyes of several instances.
+#[derive(Default)]
+struct Place<'a> {
+    last: Option<&'a status::Server>,
+    seen: u32,
+    takes_work: u32,
+    leaving: u32,
+    requests: u32,
+    feeds: u32,
+}
+
+impl<'a> Place<'a> {
+    fn add(&mut self, server: &'a status::Server) {
+        self.last = Some(server);
+        self.seen += 1;
+        self.takes_work += u32::from(server.takes_work);
+        self.leaving += u32::from(server.leaving);
+        self.requests += server.outstanding;
+        self.feeds += server.feeds;
+    }
+}
+
 /// Revisions in force and refused, a row for each document and instance.
 fn documents(gathered: &Gathered<Status>) -> String {
     let mut table = new(["instance", "document", "revision", "refused"]);
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -366,43 +366,45 @@
     assert_eq!(waited.code, 4, "{waited:?}");
 }
 
-// The variable names a settings file, and the command line another one before the
-// command. What the operator has typed must count, or a change would go to another
-// platform than the one that was meant.
+// One instance follows the platform and another never gets the choice. The wait
+// must go by the service's revision, not the profile's, which both have already.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_settings_file_on_the_command_line_counts_more_than_the_variable() {
-    let bench = Bench::start().await;
-    let platform = format!("http://{}", bench.platform.address());
-    let right = json!({ "platform": [platform] }).to_string();
-    let right = bench.file("right.jsonc", &right);
-    let wrong = bench.file("wrong.jsonc", "{ \"no_such_field\": 1 }");
-    let right = right.to_str().unwrap();
-    let wrong = wrong.to_str().unwrap();
-    for arguments in [
-        ["--config", right, "profile", "list"],
-        ["profile", "list", "--config", right],
-    ] {
-        let run = run_with(Some(wrong), arguments.to_vec()).await;
-        assert_eq!(run.code, 0, "{run:?}");
+async fn a_choice_is_waited_for_at_every_instance() {
+    let mut bench = Bench::start().await;
+    let platform = bench.platform.clone();
+    let follow = move || {
+        let envelope = platform.get("godwitreel/services/dispatch");
+        let envelope: Value =
+            serde_json::from_slice(&envelope.unwrap_or_default()).unwrap_or_default();
+        let revisions = json!({ "profiles/calm": 1, "services/dispatch": envelope["revision"] });
+        status("bole-1", revisions)
+    };
+    bench.instance("bole-1", follow).await;
+    for name in ["open", "calm"] {
+        let file = bench.profile(1_000);
+        bench.run(&["profile", "apply", name, &file]).await;
     }
-    let run = run_with(Some(wrong), vec!["profile", "list"]).await;
-    assert_eq!(run.code, 1, "{run:?}");
-    let run = run_with(Some(right), vec!["profile", "list"]).await;
-    assert_eq!(run.code, 0, "{run:?}");
-}
+    let add = ["service", "add", "dispatch", "127.0.0.1:5683", "open"];
+    assert_eq!(bench.run(&add).await.code, 0);
+    let choose = ["service", "choose", "dispatch", "calm", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 0, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["wait"]["document"], "services/dispatch");
+    assert_eq!(waited["wait"]["revision"], 2);
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
 
-// The plot cannot be written. A program that reads the output must still find one
-// JSON value there, which says so.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_plot_that_cannot_be_written_is_one_failure() {
-    let mut bench = Bench::start().await;
-    let fake = || status("bole-1", json!({}));
-    bench.instance("bole-1", fake).await;
-    let failed = bench
-        .run(&["report", "burn", "--plot", "/nowhere/burn.svg"])
-        .await;
-    assert_eq!(failed.code, 1, "{failed:?}");
-    assert_eq!(failed.json()["outcome"], "failed");
+    let revisions = json!({ "profiles/open": 1, "services/dispatch": 2 });
+    let late = move || status("bole-2", revisions.clone());
+    bench.instance("bole-2", late).await;
+    let choose = ["service", "choose", "dispatch", "open", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 4, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["outcome"], "accepted");
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+    let behind = json!([{ "instance": "bole-2", "revision": 2, "refused": null }]);
+    assert_eq!(waited["wait"]["behind"], behind);
 }
 
 // The platform was away for longer than the leases, so that its list is empty
@@ -447,45 +449,43 @@
     assert_eq!(gone.code, 0, "{gone:?}");
 }
 
-// One instance follows the platform and another never gets the choice. The wait
-// must go by the service's revision, not the profile's, which both have already.
+// The variable names a settings file, and the command line another one before the
+// command. What the operator has typed must count, or a change would go to another
+// platform than the one that was meant.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_choice_is_waited_for_at_every_instance() {
-    let mut bench = Bench::start().await;
-    let platform = bench.platform.clone();
-    let follow = move || {
-        let envelope = platform.get("godwitreel/services/dispatch");
-        let envelope: Value =
-            serde_json::from_slice(&envelope.unwrap_or_default()).unwrap_or_default();
-        let revisions = json!({ "profiles/calm": 1, "services/dispatch": envelope["revision"] });
-        status("bole-1", revisions)
-    };
-    bench.instance("bole-1", follow).await;
-    for name in ["open", "calm"] {
-        let file = bench.profile(1_000);
-        bench.run(&["profile", "apply", name, &file]).await;
+async fn a_settings_file_on_the_command_line_counts_more_than_the_variable() {
+    let bench = Bench::start().await;
+    let platform = format!("http://{}", bench.platform.address());
+    let right = json!({ "platform": [platform] }).to_string();
+    let right = bench.file("right.jsonc", &right);
+    let wrong = bench.file("wrong.jsonc", "{ \"no_such_field\": 1 }");
+    let right = right.to_str().unwrap();
+    let wrong = wrong.to_str().unwrap();
+    for arguments in [
+        ["--config", right, "profile", "list"],
+        ["profile", "list", "--config", right],
+    ] {
+        let run = run_with(Some(wrong), arguments.to_vec()).await;
+        assert_eq!(run.code, 0, "{run:?}");
     }
-    let add = ["service", "add", "dispatch", "127.0.0.1:5683", "open"];
-    assert_eq!(bench.run(&add).await.code, 0);
-    let choose = ["service", "choose", "dispatch", "calm", "--wait=1"];
-    let waited = bench.run(&choose).await;
-    assert_eq!(waited.code, 0, "{waited:?}");
-    let waited = waited.json();
-    assert_eq!(waited["wait"]["document"], "services/dispatch");
-    assert_eq!(waited["wait"]["revision"], 2);
-    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+    let run = run_with(Some(wrong), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    let run = run_with(Some(right), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+}
 
-    let revisions = json!({ "profiles/open": 1, "services/dispatch": 2 });
-    let late = move || status("bole-2", revisions.clone());
-    bench.instance("bole-2", late).await;
-    let choose = ["service", "choose", "dispatch", "open", "--wait=1"];
-    let waited = bench.run(&choose).await;
-    assert_eq!(waited.code, 4, "{waited:?}");
-    let waited = waited.json();
-    assert_eq!(waited["outcome"], "accepted");
-    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
-    let behind = json!([{ "instance": "bole-2", "revision": 2, "refused": null }]);
-    assert_eq!(waited["wait"]["behind"], behind);
+// The plot cannot be written. A program that reads the output must still find one
+// JSON value there, which says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plot_that_cannot_be_written_is_one_failure() {
+    let mut bench = Bench::start().await;
+    let fake = || status("bole-1", json!({}));
+    bench.instance("bole-1", fake).await;
+    let failed = bench
+        .run(&["report", "burn", "--plot", "/nowhere/burn.svg"])
+        .await;
+    assert_eq!(failed.code, 1, "{failed:?}");
+    assert_eq!(failed.json()["outcome"], "failed");
 }
 
 #[tokio::test(flavor = "multi_thread")]
