--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,6 +7,7 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -24,6 +25,68 @@
 /// Load above which bounded-load hashing skips a server, against the mean.
 const BOUND: f64 = 1.25;
 
+/// Share of the trusted servers under which confirmed ones are too few to be the
+/// only ones used, in percent.
+const LEAST_CONFIRMED_PERCENT: usize = 50;
+
+/// How long after its last proof ran out a server is taken to be gone, so that one
+/// lost health answer moves no feeds.
+const GONE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Feeds above a server's share that are never worth a move.
+const LEAST_SURPLUS: f64 = 8.0;
+
+/// A server with more feeds than the profile's weight lets it keep.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Surplus {
+    /// The server.
+    pub server: id::Server,
+    /// The part of its feeds that should go elsewhere.
+    pub share: f64,
+}
+
+/// Whether a server has died or was replaced, so that its feeds are silent for good.
+pub fn is_gone(service: &Service, server: &Server, now: Instant) -> bool {
+    let confirmed = server.state().confirmed_until;
+    let over = confirmed.is_none_or(|until| now >= until + GONE_AFTER);
+    over && !may_return(service, server, now)
+}
+
+/// Servers whose feeds are uneven enough to move some.
+///
+/// A weight of `w` lets a server keep `(100 - w) / w` of its fair share on top of
+/// it: a ninth at 90, as much again at 50, nine times as much at 10, anything at
+/// 0. Feeds beyond that are moved until the server is back at that limit.
+pub fn surplus(service: &Service, now: Instant) -> Vec<Surplus> {
+    let profile = &service.profile;
+    let weight = f64::from(profile.balance_weight);
+    // Rendezvous ignores load, so that it would only send the feeds back.
+    if profile.balance_weight == 0 || profile.policy == Policy::Rendezvous {
+        return Vec::new();
+    }
+    let spare = (100.0 - weight) / weight;
+    let trust = on_trust(service, now);
+    let mut loads = Vec::new();
+    for server in &service.servers {
+        let state = server.state();
+        if is_known(&state, trust, now) && !state.is_leaving() && !state.is_resting(now) {
+            let size = f64::from(server.slots) * state.warmth(now, profile);
+            loads.push((server, f64::from(state.feed_load()), size));
+        }
+    }
+    let total: f64 = loads.iter().map(|(_, feeds, _)| feeds).sum();
+    let sizes: f64 = loads.iter().map(|(_, _, size)| size).sum();
+    let uneven = loads.into_iter().filter_map(|(server, feeds, size)| {
+        let limit = total / sizes * size * (1.0 + spare);
+        let over = feeds - limit;
+        (over >= LEAST_SURPLUS).then(|| Surplus {
+            server: server.id.clone(),
+            share: over / feeds,
+        })
+    });
+    uneven.collect()
+}
+
 /// What the work will occupy at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -40,6 +103,34 @@
     local: bool,
 }
 
+/// Whether trusted servers may be used beside confirmed ones.
+///
+/// Health endpoints that fail together would take the whole service down with
+/// them. An address that another service took over falls silent by itself, not
+/// with most of the others, and is never trusted once its health answer says so.
+pub fn on_trust(service: &Service, now: Instant) -> bool {
+    let (mut trusted, mut confirmed) = (0, 0);
+    for server in &service.servers {
+        let state = server.state();
+        if state.is_trusted(now) && !state.is_leaving() {
+            trusted += 1;
+            confirmed += usize::from(state.is_confirmed(now));
+        }
+    }
+    confirmed * 100 < trusted * LEAST_CONFIRMED_PERCENT
+}
+
+/// Whether the address is known to run the service, as well as can be known now.
+fn is_known(state: &State, trust: bool, now: Instant) -> bool {
+    state.is_confirmed(now) || (trust && state.is_trusted(now))
+}
+
+/// Whether work that belongs at this very server may be sent there.
+pub fn may_return(service: &Service, server: &Server, now: Instant) -> bool {
+    let trust = on_trust(service, now);
+    is_known(&server.state(), trust, now)
+}
+
 /// The server for a new piece of work, or none if all are full or away.
 pub fn choose(
     service: &Service,
@@ -70,6 +161,7 @@
     now: Instant,
 ) -> Vec<Candidate<'a>> {
     let profile = &service.profile;
+    let trust = on_trust(service, now);
     let usable = |server: &&Arc<Server>| !tried.contains(&server.id);
     service
         .servers
@@ -77,6 +169,9 @@
         .filter(usable)
         .filter_map(|server| {
             let state = server.state();
+            if !is_known(&state, trust, now) || state.is_leaving() || state.is_resting(now) {
+                return None;
+            }
             let load = weigh(server, &state, work, now, profile)?;
             Some(Candidate {
                 server,
@@ -87,7 +182,7 @@
         .collect()
 }
 
-/// Load per slot and warmth, or none if the server takes no such work now.
+/// Load per slot and warmth, or none if the server has no room for such work.
 fn weigh(
     server: &Server,
     state: &State,
@@ -95,16 +190,15 @@
     now: Instant,
     profile: &Profile,
 ) -> Option<f64> {
-    if !state.takes_work(now) {
-        return None;
-    }
     let warmth = state.warmth(now, profile);
     let full = f64::from(server.slots) * f64::from(1 + profile.queue_per_slot);
+    let room = work == Work::Feed || f64::from(state.load()) < (full * warmth).max(1.0);
     let load = match work {
-        Work::Request => state.load(),
+        // A request is over long before the next heartbeat: ranking by what peers
+        // told sends everyone to the server that was idle a second ago.
+        Work::Request => state.outstanding,
         Work::Feed => state.feed_load(),
     };
-    let room = work == Work::Feed || f64::from(load) < (full * warmth).max(1.0);
     room.then(|| f64::from(load) / (f64::from(server.slots) * warmth))
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -58,7 +59,13 @@
     services: BTreeMap<id::Service, InForce<document::Service>>,
     servers: BTreeMap<id::Server, Arc<Server>>,
     drained: BTreeSet<String>,
+    /// Revision of the store up to which the platform has told everything, by prefix.
+    horizons: BTreeMap<String, u64>,
+    /// Keys that a peer knows to be gone, with the revision up to which they are.
+    gone: BTreeMap<String, u64>,
     refused: BTreeMap<String, String>,
+    /// Sum of the entries' digests; it must follow every change of `entries`.
+    digest: u64,
 }
 
 impl Config {
@@ -68,14 +75,62 @@
         if known.is_some_and(|known| known.mod_revision >= entry.mod_revision) {
             return false;
         }
-        self.entries.insert(entry.key.clone(), entry.clone());
+        let replaced = self.entries.insert(entry.key.clone(), entry.clone());
+        if let Some(replaced) = replaced {
+            self.digest = self.digest.wrapping_sub(digest(&replaced));
+        }
+        self.digest = self.digest.wrapping_add(digest(entry));
         self.apply(&entry.key, &entry.value);
         true
     }
 
+    /// The platform has told everything of a prefix up to this revision.
+    pub fn told(&mut self, prefix: &str, revision: u64) {
+        let horizon = self.horizons.entry(prefix.to_owned()).or_default();
+        *horizon = revision.max(*horizon);
+        let horizon = *horizon;
+        let newer = |key: &String, gone: &mut u64| !key.starts_with(prefix) || *gone > horizon;
+        self.gone.retain(newer);
+    }
+
+    /// Revision up to which a key's absence here proves that it does not exist.
+    fn horizon(&self, key: &str) -> u64 {
+        let of_key = |(prefix, _): &(&String, &u64)| key.starts_with(prefix.as_str());
+        let told = self.horizons.iter().filter(of_key).map(|(_, told)| *told);
+        let gone = self.gone.get(key).copied();
+        told.chain(gone).max().unwrap_or(0)
+    }
+
+    /// Takes a peer's copy of an entry; tells whether it is newer than what was known.
+    pub fn put_copy(&mut self, entry: &Entry) -> bool {
+        // A peer that is cut off from the platform still has what was deleted
+        // meanwhile, and would bring back what an operator has withdrawn.
+        entry.mod_revision > self.horizon(&entry.key) && self.put(entry)
+    }
+
+    /// Takes a peer's word that a key was gone at this revision; tells whether it
+    /// was known.
+    pub fn remove_copy(&mut self, key: &str, revision: u64) -> bool {
+        let known = self.entries.get(key);
+        let outdated = known.is_some_and(|known| known.mod_revision <= revision);
+        if outdated {
+            self.remove(key);
+            self.gone.insert(key.to_owned(), revision);
+        }
+        outdated
+    }
+
+    /// Revision at which a key is known not to exist, if that is newer than `than`.
+    pub fn gone_since(&self, key: &str, than: u64) -> Option<u64> {
+        let horizon = self.horizon(key);
+        (horizon >= than && !self.entries.contains_key(key)).then_some(horizon)
+    }
+
     /// Takes the removal of a key.
     pub fn remove(&mut self, key: &str) {
-        self.entries.remove(key);
+        if let Some(removed) = self.entries.remove(key) {
+            self.digest = self.digest.wrapping_sub(digest(&removed));
+        }
         self.refused.remove(key);
         if let Some(name) = key.strip_prefix(SERVERS)
             && let Ok(id) = name.parse::<id::Server>()
@@ -93,10 +148,15 @@
         self.drained.remove(key);
     }
 
-    /// Drops what is not among the platform's keys any more.
+    /// Drops what is not among the platform's keys any more. What a peer gave and
+    /// is newer than the listing stays.
     pub fn retain(&mut self, prefix: &str, keep: &BTreeSet<&str>) {
-        let gone = |key: &&String| key.starts_with(prefix) && !keep.contains(key.as_str());
-        let keys: Vec<String> = self.entries.keys().filter(gone).cloned().collect();
+        let horizon = self.horizons.get(prefix).copied().unwrap_or(u64::MAX);
+        let gone = |(key, entry): (&String, &Entry)| {
+            let listed = !key.starts_with(prefix) || keep.contains(key.as_str());
+            (!listed && entry.mod_revision <= horizon).then(|| key.clone())
+        };
+        let keys: Vec<String> = self.entries.iter().filter_map(gone).collect();
         for key in keys {
             self.remove(&key);
         }
@@ -190,16 +250,15 @@
 
     /// The configuration in force.
     pub fn snapshot(&self) -> Snapshot {
+        let mut listed = self.servers_by_service();
         let services = self.services.iter().filter_map(|(id, service)| {
             let profile = self.profiles.get(&service.body.profile)?;
-            let of_service = |server: &&Arc<Server>| server.service == *id;
-            let servers = self.servers.values().filter(of_service).map(Arc::clone);
             let view = Service {
                 id: id.clone(),
                 profile_id: service.body.profile.clone(),
                 revision: profile.revision,
                 profile: Arc::clone(&profile.body),
-                servers: servers.collect(),
+                servers: listed.remove(id).unwrap_or_default(),
             };
             Some((id.clone(), Arc::new(view)))
         });
@@ -208,6 +267,17 @@
         }
     }
 
+    /// The listed servers of each service, in order of their names. One pass over
+    /// all servers: a search for each service would multiply the two counts.
+    fn servers_by_service(&self) -> HashMap<&id::Service, Vec<Arc<Server>>> {
+        let mut listed: HashMap<&id::Service, Vec<Arc<Server>>> = HashMap::new();
+        for server in self.servers.values() {
+            let servers = listed.entry(&server.service).or_default();
+            servers.push(Arc::clone(server));
+        }
+        listed
+    }
+
     /// Addresses of the services.
     pub fn addresses(&self) -> BTreeMap<id::Service, id::Endpoint> {
         let service = |(id, service): (&id::Service, &InForce<document::Service>)| {
@@ -237,19 +307,29 @@
 
     /// Entries that peers give each other.
     pub fn shared(&self) -> impl Iterator<Item = &Entry> {
-        let shared = |entry: &&Entry| SHARED.iter().any(|prefix| entry.key.starts_with(prefix));
-        self.entries.values().filter(shared)
+        self.entries.values().filter(|entry| is_shared(entry))
     }
 
     /// Digest of what peers give each other: equal if all versions are.
     pub fn digest(&self) -> u64 {
-        let mut hasher = SipHasher13::new();
-        for entry in self.shared() {
-            entry.key.hash(&mut hasher);
-            entry.mod_revision.hash(&mut hasher);
-        }
-        hasher.finish()
+        self.digest
+    }
+}
+
+fn is_shared(entry: &Entry) -> bool {
+    SHARED.iter().any(|prefix| entry.key.starts_with(prefix))
+}
+
+/// An entry's part of the digest. The parts are added up, so that a change costs
+/// one hash however many entries there are.
+fn digest(entry: &Entry) -> u64 {
+    if !is_shared(entry) {
+        return 0;
     }
+    let mut hasher = SipHasher13::new();
+    entry.key.hash(&mut hasher);
+    entry.mod_revision.hash(&mut hasher);
+    hasher.finish()
 }
 
 fn text(error: crate::error::Error) -> String {
--- a/src/control.rs
+++ b/src/control.rs
@@ -295,7 +295,6 @@
     /// The platform does not answer.
     pub fn lose_contact(&mut self) {
         self.silent = true;
-        self.gone.clear();
     }
 
     /// Whether the platform does not answer now.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod inbound;
 mod outbound;
+mod rebalance;
 mod replica;
 
 use std::cmp::Reverse;
@@ -104,11 +105,14 @@
     ticked: Option<Instant>,
     /// After a long pause: until when waiting datagrams are being read.
     catching_up_until: Option<Instant>,
+    rebalanced: Option<Instant>,
     records: usize,
     feeds: usize,
     next_attempt: u64,
     next_message: u16,
     next_number: u64,
+    /// Whether new work is refused, since this instance ends soon.
+    closing: bool,
     rng: SmallRng,
     out: Vec<Action>,
 }
@@ -137,6 +141,7 @@
             swept: None,
             ticked: None,
             catching_up_until: None,
+            rebalanced: None,
             records: 0,
             feeds: 0,
             next_attempt: start & mask,
@@ -144,6 +149,7 @@
             next_number: start,
             rng: SmallRng::seed_from_u64(settings.seed),
             out: Vec::new(),
+            closing: false,
             settings,
         }
     }
@@ -171,6 +177,7 @@
             Event::Members(members) => self.take_members(now, members),
             Event::Join { slices, backup } => self.join(now, &slices, &backup),
             Event::Abandon(slices) => self.abandon(now, &slices),
+            Event::Closing => self.closing = true,
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.out)
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -47,9 +47,10 @@
         self.release_feeds(now);
         if self.swept.is_none_or(|swept| now >= swept + SWEEP_EVERY) {
             self.swept = Some(now);
-            self.vacate();
+            self.vacate(now);
             self.expire_pins(now);
         }
+        self.rebalance(now);
         self.move_feeds(now);
     }
 
--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -138,9 +138,9 @@
         let server = Arc::clone(&sending.server);
         let earlier = self.remove_feed(slice, &key);
         let sequence = earlier.map_or(1, |feed| feed.sequence + 1) & SEQUENCE_MASK;
-        self.insert_sending(slice, &key, attempt, &server);
+        self.insert_sending(now, slice, &key, attempt, &server);
         let feed = Feed {
-            datagram,
+            datagram: datagram.as_ref().into(),
             server: server.id.clone(),
             attempt: Some(attempt),
             renewal: None,
@@ -167,6 +167,7 @@
 
     fn insert_sending(
         &mut self,
+        now: Instant,
         slice: id::Slice,
         key: &FeedKey,
         attempt: id::Attempt,
@@ -179,6 +180,7 @@
                 slice,
                 purpose: Purpose::Feed(key.clone()),
                 server: Arc::clone(server),
+                since: now,
             },
         );
     }
@@ -434,20 +436,21 @@
         let Some(feed) = self.feed(slice, key) else {
             return;
         };
-        let (datagram, failed) = (feed.datagram.clone(), feed.failed.clone());
+        let datagram = Bytes::copy_from_slice(&feed.datagram);
+        let failed = feed.failed.clone();
         let own = feed.server.clone();
         let Some(server) = self.feed_server(now, &service, &key.flow, &own, &failed) else {
             self.unplaced(now, slice, key, &service);
             return;
         };
         let attempt = self.new_attempt();
-        self.insert_sending(slice, key, attempt, &server);
+        self.insert_sending(now, slice, key, attempt, &server);
         if let Some(feed) = self.feed(slice, key) {
-            feed.renewal = Some(Renewal {
+            feed.renewal = Some(Box::new(Renewal {
                 attempt,
                 server: server.id.clone(),
                 since: now,
-            });
+            }));
         }
         let timeout = service.profile.attempt_timeout();
         self.look_at(now + timeout, slice, key);
@@ -569,12 +572,14 @@
         }
     }
 
-    /// Finds feeds whose server has begun to leave.
-    pub(super) fn vacate(&mut self) {
+    /// Finds feeds whose server has begun to leave or is gone: left alone, these
+    /// would stand still until the profile's limit of silence.
+    pub(super) fn vacate(&mut self, now: Instant) {
         let mut leaving = Vec::new();
         for service in self.snapshot.services.values() {
             for server in &service.servers {
-                let away = server.state().is_leaving();
+                let leaves = server.state().is_leaving();
+                let away = leaves || balance::is_gone(service, server, now);
                 if !away {
                     self.vacated.remove(&server.id);
                 } else if self.vacated.insert(server.id.clone()) {
@@ -601,9 +606,14 @@
     /// Hands feeds that were taken in for an unreachable home to that home, again
     /// and again until they are released here: a lost message would end them.
     pub(super) fn return_feeds(&mut self, now: Instant, slice: id::Slice) {
-        if !self.offer_feeds(slice) {
+        // A registration under way counts: answered later, it would go on here
+        // beside the home's own.
+        let ours = |feed: &Feed| feed.attempt.is_some() || feed.renewal.is_some();
+        let state = self.slices.get(&slice);
+        if !state.is_some_and(|state| state.feeds.values().any(ours)) {
             return;
         }
+        self.offer_feeds(slice);
         for round in 1..RELEASE_AFTER.as_millis() / RETURN_EVERY.as_millis() {
             let at = now + RETURN_EVERY * round as u32;
             self.schedule(at, Timer::Return(slice));
@@ -611,14 +621,14 @@
         self.releases.push_back((now + RELEASE_AFTER, slice));
     }
 
-    /// Offers feeds to the slice's home; tells whether there were any.
-    pub(super) fn offer_feeds(&mut self, slice: id::Slice) -> bool {
+    /// Offers feeds to the slice's home.
+    pub(super) fn offer_feeds(&mut self, slice: id::Slice) {
         let row = self.table.row(slice);
         let Some(home) = row.home.clone().filter(|home| *home != self.settings.me) else {
-            return false;
+            return;
         };
         let Some(state) = self.slices.get(&slice) else {
-            return false;
+            return;
         };
         let active = state.feeds.iter().filter(|(_, f)| f.attempt.is_some());
         let offers: Vec<Action> = active
@@ -630,9 +640,7 @@
                 }),
             })
             .collect();
-        let any = !offers.is_empty();
         self.out.extend(offers);
-        any
     }
 
     /// Drops the registrations of slices that another instance looks after by now.
@@ -708,7 +716,7 @@
         flow: Some(peer::pack_flow(&key.flow)),
         token: peer::pack_number(key.token.0),
         server: feed.server.as_str().to_owned(),
-        datagram: feed.datagram.clone(),
+        datagram: Bytes::copy_from_slice(&feed.datagram),
         sequence: feed.sequence,
     }
 }
--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -48,9 +48,6 @@
 /// would run again if it found nothing.
 const KEEP_MARGIN: Duration = Duration::from_secs(20);
 
-/// Shortest pause given to a server that refused.
-const LEAST_PAUSE: Duration = Duration::from_millis(200);
-
 impl Engine {
     pub(super) fn record(&mut self, slice: id::Slice, key: &Key) -> Option<&mut Record> {
         self.slices.get_mut(&slice)?.records.get_mut(key)
@@ -155,7 +152,8 @@
     ) -> Option<Arc<Server>> {
         let pin = self.pin(slice, key)?;
         let server = service.server(&pin.server)?;
-        let usable = now < pin.used + PIN_TIME && server.state().is_confirmed(now);
+        let fresh = now < pin.used + PIN_TIME;
+        let usable = fresh && balance::may_return(service, server, now);
         usable.then(|| Arc::clone(server))
     }
 
@@ -227,6 +225,7 @@
                 slice,
                 purpose: Purpose::Request(key.clone()),
                 server: Arc::clone(&server),
+                since: now,
             },
         );
         self.note_forwarded(slice, key, &server);
@@ -318,6 +317,11 @@
             return;
         };
         let slice = sending.slice;
+        match answer.verdict {
+            Verdict::Handled => sending.server.prove(sending.since),
+            Verdict::NotFound => sending.server.doubt(now),
+            Verdict::Refused => {}
+        }
         match sending.purpose.clone() {
             Purpose::Request(key) => self.request_answer(now, slice, &key, attempt, answer),
             Purpose::Feed(key) => self.feed_answer(now, slice, &key, attempt, answer),
@@ -334,7 +338,7 @@
     ) {
         match answer.verdict {
             Verdict::Refused => self.refused(now, slice, key, attempt, &answer),
-            Verdict::Handled => self.handled(now, slice, key, attempt, answer),
+            Verdict::Handled | Verdict::NotFound => self.handled(now, slice, key, attempt, answer),
         }
     }
 
@@ -376,8 +380,7 @@
 
     fn pause(&mut self, now: Instant, server: &Server, retry_after: Option<u32>) {
         let asked = Duration::from_secs(retry_after.unwrap_or(0).into());
-        let pause = asked.clamp(LEAST_PAUSE, Duration::from_secs(2));
-        server.state().paused_until = Some(now + pause);
+        server.refuse(now, asked);
         self.note(Reason::ServerPaused);
     }
 
@@ -392,7 +395,7 @@
         let Some(sending) = self.drop_sending(attempt) else {
             return;
         };
-        sending.server.state().failures = 0;
+        sending.server.succeed();
         let Some(record) = self.record(slice, key) else {
             return;
         };
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -36,6 +36,7 @@
 use crate::record::Record;
 use crate::record::Replica;
 use crate::record::Role;
+use crate::request::Flow;
 use crate::request::Key;
 use crate::request::Outcome;
 use crate::request::Request;
@@ -262,11 +263,14 @@
         state.seen = state.seen.max(epoch);
         match message.item {
             Some(peer::Item::Claim(claim)) => {
-                let key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
+                let mut key = peer::unpack_key(claim.flow.as_ref(), &claim.id)?;
+                self.share_name(&mut key.flow);
                 self.keep_claim(now, slice, key, from);
             }
             Some(peer::Item::Feed(feed)) => {
-                let (key, feed) = unpack_feed(now, message.number, feed)?;
+                let (mut key, mut feed) = unpack_feed(now, message.number, feed)?;
+                self.share_name(&mut key.flow);
+                self.share_server(&key.flow, &mut feed.server);
                 self.remove_feed(slice, &key);
                 self.insert_feed(slice, key, feed);
             }
@@ -289,6 +293,22 @@
         Ok(())
     }
 
+    /// Takes the configuration's own copy of a service's name: hundreds of
+    /// thousands of copies that came in messages would take memory for nothing.
+    fn share_name(&self, flow: &mut Flow) {
+        if let Some(service) = self.snapshot.services.get(&flow.service) {
+            flow.service = service.id.clone();
+        }
+    }
+
+    /// The same for a server's name.
+    fn share_server(&self, flow: &Flow, name: &mut id::Server) {
+        let service = self.snapshot.services.get(&flow.service);
+        if let Some(server) = service.and_then(|service| service.server(name)) {
+            *name = server.id.clone();
+        }
+    }
+
     /// Whether a claim of this sender may still be acknowledged.
     fn accepts(&self, slice: id::Slice, from: &id::Holder, epoch: id::Epoch) -> bool {
         let row = self.table.row(slice);
@@ -424,15 +444,22 @@
             .map(|(slice, row)| (slice, row.clone()))
             .collect();
         for (slice, row) in rows {
-            let continued = before
-                .get(slice)
-                .is_some_and(|before| row.continues(before));
-            self.take_row(now, slice, row, continued);
+            let known = before.get(slice);
+            let continued = known.is_some_and(|known| row.continues(known));
+            let former = known.and_then(|known| known.home.clone());
+            self.take_row(now, slice, row, continued, former);
         }
         self.unpark(now);
     }
 
-    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, continued: bool) {
+    fn take_row(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        row: Row,
+        continued: bool,
+        former: Option<id::Holder>,
+    ) {
         let state = self.slices.entry(slice).or_default();
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
@@ -444,6 +471,7 @@
         if row.is_home(&self.settings.me) {
             state.role = Role::Home;
             if before != Role::Home {
+                state.former = former;
                 self.become_home(slice);
             }
             self.take_backup(now, slice, row.backup);
@@ -606,7 +634,7 @@
         token: Token(peer::unpack_number(&feed.token)?),
     };
     let feed = Feed {
-        datagram: feed.datagram,
+        datagram: feed.datagram.as_ref().into(),
         server: feed.server.parse()?,
         attempt: None,
         renewal: None,
--- a/src/link.rs
+++ b/src/link.rs
@@ -37,7 +37,6 @@
 use crate::metric::Direction;
 use crate::metric::Metrics;
 use crate::peer::Body;
-use crate::peer::Entry;
 use crate::peer::Heartbeat;
 use crate::peer::Pull;
 use crate::peer::Push;
@@ -145,7 +144,7 @@
     /// loads that are a second older only make its choices a little worse.
     fn seal_heartbeat(&self, address: SocketAddr, to: &str, message: Heartbeat) -> Vec<u8> {
         let bare = Heartbeat {
-            loads: Vec::new(),
+            loads: None,
             trimmed: true,
             ..message.clone()
         };
@@ -206,7 +205,7 @@
     }
 
     /// Asks a peer for everything newer than what is here.
-    pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Vec<Entry>> {
+    pub(crate) async fn pull(&self, peer: SocketAddr, have: Pull) -> Result<Push> {
         let exchange = async {
             let frame = self.seal("", Body::Pull(have));
             self.pay(peer, "pull", frame.len())?;
@@ -222,7 +221,7 @@
                 .ok_or_else(|| unanswered(peer, "closed"))?;
             let answer = answer.map_err(|e| io(peer, e))?;
             match self.open(peer, &answer)?.body {
-                Body::Push(push) => Ok(push.entries),
+                Body::Push(push) => Ok(push),
                 _ => Err(unanswered(peer, "another message")),
             }
         };
@@ -230,12 +229,12 @@
         answer.unwrap_or_else(|_| Err(unanswered(peer, "timeout")))
     }
 
-    /// Serves one peer's question from `entries`, which returns what is newer.
+    /// Serves one peer's question from `copies`, which returns what is newer.
     pub(crate) async fn serve(
         self: Arc<Self>,
         stream: TcpStream,
         peer: SocketAddr,
-        entries: impl Fn(Pull) -> Vec<Entry>,
+        copies: impl Fn(Pull) -> Push,
     ) -> Result<()> {
         let exchange = async {
             let mut framed = framed(stream);
@@ -248,9 +247,7 @@
             let Body::Pull(pull) = frame.body else {
                 return Err(unanswered(peer, "another message"));
             };
-            let push = Push {
-                entries: entries(pull),
-            };
+            let push = copies(pull);
             let answer = self.seal(frame.from.instance.as_str(), Body::Push(push));
             let address = self.address(&frame.from).unwrap_or(peer);
             self.pay(address, "push", answer.len())?;
--- a/src/record.rs
+++ b/src/record.rs
@@ -119,11 +119,13 @@
 /// One feed.
 #[derive(Clone, Debug)]
 pub(crate) struct Feed {
-    pub(crate) datagram: Bytes,
+    /// The caller's registration, on its own: a share of the received buffer would
+    /// keep more than its bytes for as long as the feed lives.
+    pub(crate) datagram: Box<[u8]>,
     pub(crate) server: id::Server,
     /// The registration in use; none while this instance only keeps a copy.
     pub(crate) attempt: Option<id::Attempt>,
-    pub(crate) renewal: Option<Renewal>,
+    pub(crate) renewal: Option<Box<Renewal>>,
     /// Servers that failed to take the feed since it was last heard.
     pub(crate) failed: Vec<id::Server>,
     pub(crate) sequence: u32,
@@ -187,6 +189,8 @@
     pub(crate) epoch: id::Epoch,
     /// As backup: the greatest epoch under which a home has replicated to us.
     pub(crate) seen: id::Epoch,
+    /// As home: the one before, which may still be finishing requests.
+    pub(crate) former: Option<id::Holder>,
     /// Since when the slice is known to have lost its records.
     pub(crate) blank_since: Option<Instant>,
     pub(crate) replica: Option<Replica>,
@@ -211,6 +215,7 @@
     pub(crate) slice: id::Slice,
     pub(crate) purpose: Purpose,
     pub(crate) server: Arc<Server>,
+    pub(crate) since: Instant,
 }
 
 /// A request on its way to whoever decides for it.
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -35,7 +35,9 @@
 use crate::table;
 
 /// Events that may wait for a worker; what comes beyond is dropped like on a wire.
-const QUEUE: usize = 65_536;
+/// The queue's memory is taken at the start, and one much longer would only keep
+/// requests until their callers have repeated them.
+const QUEUE: usize = 16_384;
 
 /// Longest wait between two ticks.
 const TICK: Duration = Duration::from_millis(10);
@@ -136,9 +138,9 @@
 
     /// Ends the workers; what they were given and have not taken is dropped.
     ///
-    /// Dropping the senders is not enough: whatever still holds them, such as an
-    /// open connection to the status port, would keep the engines running, and
-    /// they would go on to send for an instance that has stopped.
+    /// Dropping the senders is not enough: whatever still holds them would keep the
+    /// engines running, and they would go on to send for an instance that has
+    /// stopped.
     pub(crate) fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
     }
@@ -172,12 +174,15 @@
         let _ = self.senders[worker].send(Input::Event(event));
     }
 
-    /// Gives a server's answer to the worker whose sending it answers.
-    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) {
+    /// Gives a server's answer to the worker whose sending it answers; tells
+    /// whether there is such a worker.
+    pub(crate) fn give_answer(&self, attempt: id::Attempt, input: Input) -> bool {
         let worker = (attempt.0 >> ATTEMPT_BITS) as usize;
-        if worker < self.senders.len() {
+        let known = worker < self.senders.len();
+        if known {
             self.push(worker, input);
         }
+        known
     }
 
     /// Gives an event to all workers; waits for room, since none may miss it.
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -55,7 +55,13 @@
 async fn a_stopped_instance_leaves_nothing_behind() {
     let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into());
     let platform = platform.await.expect("platform");
-    let (peer, status) = (free_address(), free_address());
+    let peer = free_address();
+    let status = loop {
+        let status = free_address();
+        if status != peer {
+            break status;
+        }
+    };
     let text = format!(
         r#"{{"instance": "bole-1", "zone": "bole", "peer": "{peer}", "status": "{status}",
             "platform": ["http://{}"], "backend_bind": "127.0.0.1", "workers": 3,
@@ -66,17 +72,20 @@
     let url = format!("http://{status}/status");
     for _ in 0..3 {
         let settings = parse(&text);
-        let logger = log::logger(&settings.log);
-        let handle = daemon::start(settings, logger).await.expect("a start");
+        let (logger, _flush) = log::logger(&settings.log);
+        let mut handle = daemon::start(settings, logger).await.expect("a start");
         until_workers(3).await;
         let answer = monitor.get(&url).send().await.expect("a status");
         assert!(answer.status().is_success());
+        // Only a connection whose answer was read to its end is kept open.
+        let body = answer.text().await.expect("a body");
+        assert!(body.contains("bole-1"), "{body}");
         let stopped = handle.stop().await;
         assert_eq!(stopped.cut, 0);
         assert_eq!(workers(), 0);
     }
     let settings = parse(&text);
-    let logger = log::logger(&settings.log);
+    let (logger, _flush) = log::logger(&settings.log);
     let handle = daemon::start(settings, logger).await.expect("a start");
     until_workers(3).await;
     handle.abort();
