Count requests refused by a stopping instance as bad

Cause: `refused_stopping` came after the list of failures and was left out of it, so that the burn report did not count these requests. Ruled out: that they are counted under another reason; a refusal is noted once. Change: it is in the list, and a test holds the list against the codes. Before: the new test failed for this code alone; after: it passes.

--- a/src/reason.rs
+++ b/src/reason.rs
@@ -24,6 +24,7 @@
                         | Self::RefusedByServer
                         | Self::RefusedLimit
                         | Self::RefusedCaller
+                        | Self::RefusedStopping
                         | Self::UnknownDeadline
                         | Self::UnknownClaimed
                         | Self::UnknownBlank
--- a/tests/metric.rs
+++ b/tests/metric.rs
@@ -139,3 +139,16 @@
         r#"godwitreel_events_total{reason="answered",service="service-0"} 2"#,
     );
 }
+
+// A request that is refused or ends unknown is bad in the burn report, whatever the
+// reason: one that was left out would make an overloaded or stopping fleet look well.
+#[test]
+fn every_reason_of_a_request_without_an_answer_is_a_failure() {
+    for reason in Reason::ALL {
+        let code = reason.code();
+        let ends_badly = code.starts_with("refused_") || code.starts_with("unknown_");
+        // That one is about a datagram, for which no objective is known.
+        let expected = ends_badly && *reason != Reason::UnknownService;
+        assert_eq!(reason.is_failure(), expected, "{code}");
+    }
+}
