--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::Bench;
 use crate::fleet::run;
+use crate::fleet::run_with;
 use crate::fleet::status;
 use crate::fleet::until;
 
@@ -156,6 +157,19 @@
     assert_eq!(bench.stored(KEY), Some(theirs));
 }
 
+// A slip of the pen makes the expected revision the last number that there is. The
+// change is refused like any other that expects the wrong one.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_expected_revision_can_be_refused() {
+    let bench = Bench::start().await;
+    let file = bench.profile(1_000);
+    let last = u64::MAX.to_string();
+    let arguments = ["profile", "apply", "open", &file, "--expect", &last];
+    let refused = bench.run(&arguments).await;
+    assert_eq!(refused.code, 2, "{refused:?}");
+    assert_eq!(bench.stored(KEY), None);
+}
+
 // An operator's change expects revision 1, but two more were accepted since. The
 // one to show is the first of them, which took the operator's place, and not
 // the latest, which may have nothing to do with it.
@@ -352,6 +366,128 @@
     assert_eq!(waited.code, 4, "{waited:?}");
 }
 
+// One instance follows the platform and another never gets the choice. The wait
+// must go by the service's revision, not the profile's, which both have already.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_choice_is_waited_for_at_every_instance() {
+    let mut bench = Bench::start().await;
+    let platform = bench.platform.clone();
+    let follow = move || {
+        let envelope = platform.get("godwitreel/services/dispatch");
+        let envelope: Value =
+            serde_json::from_slice(&envelope.unwrap_or_default()).unwrap_or_default();
+        let revisions = json!({ "profiles/calm": 1, "services/dispatch": envelope["revision"] });
+        status("bole-1", revisions)
+    };
+    bench.instance("bole-1", follow).await;
+    for name in ["open", "calm"] {
+        let file = bench.profile(1_000);
+        bench.run(&["profile", "apply", name, &file]).await;
+    }
+    let add = ["service", "add", "dispatch", "127.0.0.1:5683", "open"];
+    assert_eq!(bench.run(&add).await.code, 0);
+    let choose = ["service", "choose", "dispatch", "calm", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 0, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["wait"]["document"], "services/dispatch");
+    assert_eq!(waited["wait"]["revision"], 2);
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+
+    let revisions = json!({ "profiles/open": 1, "services/dispatch": 2 });
+    let late = move || status("bole-2", revisions.clone());
+    bench.instance("bole-2", late).await;
+    let choose = ["service", "choose", "dispatch", "open", "--wait=1"];
+    let waited = bench.run(&choose).await;
+    assert_eq!(waited.code, 4, "{waited:?}");
+    let waited = waited.json();
+    assert_eq!(waited["outcome"], "accepted");
+    assert_eq!(waited["wait"]["in_force"], json!(["bole-1"]));
+    let behind = json!([{ "instance": "bole-2", "revision": 2, "refused": null }]);
+    assert_eq!(waited["wait"]["behind"], behind);
+}
+
+// The platform was away for longer than the leases, so that its list is empty
+// though every instance runs. What is gathered from nobody must not look like a
+// fleet that is well.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_list_of_instances_is_not_the_whole_fleet() {
+    let bench = Bench::start().await;
+    let caller = [
+        "explain",
+        "--service",
+        "dispatch",
+        "--caller",
+        "127.0.0.1:9",
+    ];
+    for arguments in [&["status"][..], &["report", "burn"], &caller] {
+        let run = bench.run(arguments).await;
+        assert_eq!(run.code, 4, "{run:?}");
+        assert!(run.out.contains("none is registered"), "{run:?}");
+    }
+}
+
+// An instance's lease has lapsed while the platform was away; it runs and is home
+// of a slice. An operator who believes that it is drained stops it, and the slice
+// is without a home.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_a_lease_is_not_drained_while_it_is_home() {
+    let bench = Bench::start().await;
+    let key = "godwitreel/slices/0";
+    let rows = |home: &str| {
+        let row = json!({ "e": 1, "h": home });
+        json!({ "write_id": "test", "rows": [row] }).to_string()
+    };
+    let drain = ["instance", "drain", "bole-1", "--wait=0"];
+    bench.platform.put(key, rows("bole-1#1"));
+    let waited = bench.run(&drain).await;
+    assert_eq!(waited.code, 4, "{waited:?}");
+    let seen = waited.json()["wait"]["seen"].to_string();
+    assert!(seen.contains("home of 1 slices"), "{seen}");
+    bench.platform.put(key, rows("bole-2#1"));
+    let gone = bench.run(&drain).await;
+    assert_eq!(gone.code, 0, "{gone:?}");
+}
+
+// The variable names a settings file, and the command line another one before the
+// command. What the operator has typed must count, or a change would go to another
+// platform than the one that was meant.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settings_file_on_the_command_line_counts_more_than_the_variable() {
+    let bench = Bench::start().await;
+    let platform = format!("http://{}", bench.platform.address());
+    let right = json!({ "platform": [platform] }).to_string();
+    let right = bench.file("right.jsonc", &right);
+    let wrong = bench.file("wrong.jsonc", "{ \"no_such_field\": 1 }");
+    let right = right.to_str().unwrap();
+    let wrong = wrong.to_str().unwrap();
+    for arguments in [
+        ["--config", right, "profile", "list"],
+        ["profile", "list", "--config", right],
+    ] {
+        let run = run_with(Some(wrong), arguments.to_vec()).await;
+        assert_eq!(run.code, 0, "{run:?}");
+    }
+    let run = run_with(Some(wrong), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    let run = run_with(Some(right), vec!["profile", "list"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+}
+
+// The plot cannot be written. A program that reads the output must still find one
+// JSON value there, which says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plot_that_cannot_be_written_is_one_failure() {
+    let mut bench = Bench::start().await;
+    let fake = || status("bole-1", json!({}));
+    bench.instance("bole-1", fake).await;
+    let failed = bench
+        .run(&["report", "burn", "--plot", "/nowhere/burn.svg"])
+        .await;
+    assert_eq!(failed.code, 1, "{failed:?}");
+    assert_eq!(failed.json()["outcome"], "failed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn services_are_added_and_choose_profiles_that_exist() {
     let bench = Bench::start().await;
