--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -256,7 +256,7 @@
             return self.take_free(now, slice, row, shares);
         };
         if home == me {
-            return self.change_backup(now, slice, row);
+            return self.change_backup(now, slice, row, shares);
         }
         if row.is_backup(me) {
             return self.promote(now, slice, row, home);
@@ -292,7 +292,13 @@
 
     /// As home: drops a backup that is gone, leaves, or makes room for a move, and
     /// names the one that has everything.
-    fn change_backup(&self, now: Instant, slice: id::Slice, row: &Row) -> Option<Row> {
+    fn change_backup(
+        &self,
+        now: Instant,
+        slice: id::Slice,
+        row: &Row,
+        shares: &Shares,
+    ) -> Option<Row> {
         let with = |backup: Option<id::Holder>| Row {
             epoch: id::Epoch(row.epoch.0 + 1),
             backup,
@@ -305,7 +311,8 @@
         };
         let target = self.migrating.get(&slice);
         let wrong = target.is_some_and(|target| target != backup);
-        if self.is_dead(now, backup) || self.is_leaving_member(backup) || wrong {
+        let near = self.joining.is_empty() && self.is_too_near(backup, shares);
+        if self.is_dead(now, backup) || self.is_leaving_member(backup) || wrong || near {
             return Some(with(None));
         }
         // A mark that stays would start the window at instances that come later.
@@ -313,6 +320,14 @@
         over.then(|| with(Some(backup.clone())))
     }
 
+    /// Whether a backup is in this zone although another zone has an instance: at
+    /// the start of the fleet it may have been the only one that was heard.
+    fn is_too_near(&self, backup: &id::Holder, shares: &Shares) -> bool {
+        let here = |share: &Share| share.zone == self.settings.zone;
+        let near = shares.get(backup).is_some_and(here);
+        near && shares.values().any(|share| !here(share))
+    }
+
     fn is_blank(&self, now: Instant, slice: id::Slice) -> bool {
         let since = self.blank_since.get(&slice);
         since.is_none_or(|since| now < *since + LONGEST_COPY_LIFETIME)
@@ -449,7 +464,11 @@
         };
         self.migrating
             .retain(|_, target| shares.contains_key(target));
-        if mine <= mean + slack || share.homes + slack > mean {
+        // One in this zone may be short while the other zones have their share. It
+        // gets its own by way of them, so they may go over it for a while.
+        let short = |share: &Share| share.homes + slack <= mean;
+        let needed = shares.values().any(short);
+        if mine <= mean + slack || !needed || share.homes > mean + slack {
             return;
         }
         let surplus = (mine - mean) as usize;
--- a/tests/level.rs
+++ b/tests/level.rs
@@ -13,33 +13,37 @@
 use godwitreel::table::Row;
 use tokio::time::Instant;
 
-const SLICE_COUNT: usize = 64;
+const MANY: usize = 64;
 
 fn holder(text: &str) -> id::Holder {
     text.parse().expect("a holder")
 }
 
-/// The loaded home of all slices, in zone bole, with a backup in kality.
-fn loaded(now: Instant) -> Control {
+/// The home of so many slices, in zone bole, with kality-1 as their backup.
+fn loaded(now: Instant, slices: usize) -> Control {
+    let row = Row {
+        epoch: id::Epoch(1),
+        home: Some(holder("bole-1#1")),
+        backup: Some(holder("kality-1#1")),
+        blank: false,
+    };
+    with_rows(now, vec![row; slices])
+}
+
+fn with_rows(now: Instant, rows: Vec<Row>) -> Control {
     let settings = control::Settings {
         me: holder("bole-1#1"),
         zone: "bole".parse().expect("a zone"),
         address: "127.0.0.1:1".parse().expect("an address"),
-        slices: SLICE_COUNT as u32,
+        slices: rows.len() as u32,
         suspect_after: Duration::from_secs(3),
         isolation_limit: Duration::from_secs(60),
         outsider_wait: Duration::from_secs(70),
     };
     let mut control = Control::new(settings, now);
-    let row = Row {
-        epoch: id::Epoch(1),
-        home: Some(holder("bole-1#1")),
-        backup: Some(holder("kality-1#1")),
-        blank: false,
-    };
     let document = Document {
         write_id: "1".to_owned(),
-        rows: vec![row; SLICE_COUNT],
+        rows,
     };
     let entry = Entry {
         key: format!("{SLICES}0"),
@@ -86,9 +90,49 @@
 fn slices_never_move_within_a_zone_when_there_is_another() {
     let now = Instant::now();
     let peers = [("bole-2#1", "bole"), ("kality-1#1", "kality")];
-    let rows = written(&mut loaded(now), now, &peers);
+    let rows = written(&mut loaded(now, MANY), now, &peers);
     assert_eq!(rows, []);
     let peers = [("bole-2#1", "bole"), ("merkato-1#1", "merkato")];
-    let rows = written(&mut loaded(now), now, &peers);
+    let rows = written(&mut loaded(now, MANY), now, &peers);
     assert!(!rows.is_empty());
 }
+
+// The fleet starts and an instance hears only the one beside it at first, which
+// becomes the backup of its slices. If that stayed so, a cut of the zone would take
+// home and backup together although other zones have instances.
+#[test]
+fn a_backup_in_the_same_zone_gives_way_to_one_in_another() {
+    let now = Instant::now();
+    let mut control = loaded(now, 1);
+    let peers = [("kality-1#1", "bole"), ("merkato-1#1", "merkato")];
+    let rows = written(&mut control, now, &peers);
+    assert!(rows.iter().any(|row| row.backup.is_none()), "{rows:?}");
+    let mut control = loaded(now, 1);
+    let alone = written(&mut control, now, &[("kality-1#1", "bole")]);
+    assert_eq!(alone, [], "there is no other zone");
+}
+
+// A new instance stands beside the loaded one, and the other zone has just its
+// share. Nothing may move within the zone, so the surplus goes to the other zone,
+// which passes it on; else the new instance would stay without work for ever.
+#[test]
+fn a_new_instance_gets_slices_by_way_of_another_zone() {
+    let now = Instant::now();
+    let row = |home: &str, backup: &str| Row {
+        epoch: id::Epoch(1),
+        home: Some(holder(home)),
+        backup: Some(holder(backup)),
+        blank: false,
+    };
+    let mut rows = vec![row("bole-1#1", "kality-1#1"); 32];
+    rows.extend(vec![row("kality-1#1", "bole-1#1"); 16]);
+    let mut control = with_rows(now, rows);
+    control.contact(now);
+    hear(&mut control, now, "kality-1#1", "kality");
+    hear(&mut control, now, "bole-2#1", "bole");
+    let commands = control.tick(now);
+    let asked = commands
+        .iter()
+        .any(|command| matches!(command, Command::Yield { to, .. } if *to == holder("kality-1#1")));
+    assert!(asked, "{commands:?}");
+}
