--- a/src/control.rs
+++ b/src/control.rs
@@ -151,6 +151,8 @@
     /// Since when a holder has had no registration, as long as contact was unbroken.
     gone: HashMap<id::Holder, Instant>,
     joining: BTreeMap<id::Slice, Joining>,
+    /// Copies that were given up lately: to whom, and until when it is passed over.
+    abandoned: BTreeMap<id::Slice, (id::Holder, Instant)>,
     /// Slices on their way to a less loaded instance.
     migrating: BTreeMap<id::Slice, id::Holder>,
     yielded: BTreeMap<id::Slice, Instant>,
@@ -179,6 +181,7 @@
             registered: BTreeMap::new(),
             gone: HashMap::new(),
             joining: BTreeMap::new(),
+            abandoned: BTreeMap::new(),
             migrating: BTreeMap::new(),
             yielded: BTreeMap::new(),
             asked: None,
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -26,6 +26,13 @@
 /// Copies to new backups at a time: more would swamp a small instance's link.
 const MAX_JOINING: usize = 128;
 
+/// Silence after which a peer without a registration is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// How long a backup is passed over after a copy to it was given up; far longer
+/// than a worker's word waits to be read.
+const PASS_OVER: Duration = Duration::from_secs(10);
+
 /// Slices on their way to a less loaded instance at a time.
 const MAX_MIGRATING: usize = 16;
 
@@ -51,6 +58,8 @@
         let mut commands = Vec::new();
         self.watch_pause(now);
         self.yielded.retain(|_, until| now < *until);
+        self.abandoned.retain(|_, (_, until)| now < *until);
+        self.forget_peers(now);
         self.watch_registrations(now);
         self.offer_view(now, &mut commands);
         if self.table_changed {
@@ -82,6 +91,14 @@
         self.gone.clear();
     }
 
+    /// Forgets peers that have gone for good: each new name would else be sent
+    /// heartbeats for ever.
+    fn forget_peers(&mut self, now: Instant) {
+        let registered = &self.registered;
+        self.heard
+            .retain(|name, heard| now < heard.at + FORGET_AFTER || registered.contains_key(name));
+    }
+
     fn offer_view(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let mut view = View {
             authority_until: self
@@ -204,7 +221,13 @@
             }
         }
         for slice in &slices {
-            self.joining.remove(slice);
+            // The worker may have told already that this copy is complete. Taken for
+            // a later copy to the same backup, that would name it in the table while
+            // it lacks the claims made in between.
+            if let Some(joining) = self.joining.remove(slice) {
+                let until = now + PASS_OVER;
+                self.abandoned.insert(*slice, (joining.backup, until));
+            }
             self.migrating.remove(slice);
         }
         if !slices.is_empty() {
@@ -383,7 +406,9 @@
                 continue;
             }
             let target = self.migrating.get(&slice);
-            let target = target.filter(|target| self.is_live(now, target)).cloned();
+            let target = target
+                .filter(|target| self.is_live(now, target) && !self.is_passed_over(slice, target))
+                .cloned();
             let Some(backup) = target.or_else(|| self.candidate(slice, &shares)) else {
                 continue;
             };
@@ -409,7 +434,8 @@
     fn candidate(&self, slice: id::Slice, shares: &Shares) -> Option<id::Holder> {
         let others = shares
             .iter()
-            .filter(|(holder, _)| holder.instance != self.settings.me.instance);
+            .filter(|(holder, _)| holder.instance != self.settings.me.instance)
+            .filter(|(holder, _)| !self.is_passed_over(slice, holder));
         let best = others.min_by_key(|(holder, share)| {
             let near = share.zone == self.settings.zone;
             let mut hasher = SipHasher13::new();
@@ -420,6 +446,11 @@
         best.map(|(holder, _)| holder.clone())
     }
 
+    fn is_passed_over(&self, slice: id::Slice, holder: &id::Holder) -> bool {
+        let given_up = self.abandoned.get(&slice);
+        given_up.is_some_and(|(backup, _)| backup == holder)
+    }
+
     /// Asks backups to take slices over: all when leaving, else those that an
     /// instance with fewer slices should have.
     fn hand_over(&mut self, now: Instant, shares: &Shares, commands: &mut Vec<Command>) {
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -311,7 +311,7 @@
         if self.records >= self.settings.max_flows {
             // Nothing can be kept of it, and "not run" would need a record that
             // stops later copies.
-            self.turn_away(&request, Outcome::Unknown, Reason::RefusedLimit);
+            self.turn_away(&request, Outcome::Unknown, Reason::UnknownLimit);
             return;
         }
         let intent = match self.limit(slice, service, &request.flow) {
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -29,6 +29,7 @@
                         | Self::UnknownClaimed
                         | Self::UnknownBlank
                         | Self::UnknownAuthority
+                        | Self::UnknownLimit
                         | Self::UnknownNoHome
                 )
             }
@@ -72,6 +73,7 @@
     UnknownClaimed "unknown_claimed" "Unknown: an earlier home had claimed the request.";
     UnknownBlank "unknown_blank" "Unknown: the slice was taken over without its records.";
     UnknownAuthority "unknown_authority" "Unknown: too long without contact with the platform.";
+    UnknownLimit "unknown_limit" "Unknown: the records are full, so nothing could be kept of it.";
     UnknownNoHome "unknown_no_home" "Unknown: neither home nor backup of the slice is reachable.";
     FeedOpened "feed_opened" "A feed was opened.";
     FeedMoved "feed_moved" "A feed was registered at another server or by another instance.";
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -632,3 +632,21 @@
     assert!(forwards(&waiting).is_empty());
     assert!(has_reason(&waiting, Reason::Parked));
 }
+
+/// A copy is given up because its backup fell silent, and begins anew when that is
+/// heard again. The worker's word that the first copy is complete comes only then.
+/// The second copy lacks what was claimed in between: were the backup named by the
+/// late word, it could run such a booking again after a takeover.
+#[test]
+fn a_late_word_about_a_copy_given_up_names_nobody() {
+    let (a, b) = (holder("a", 1), holder("b", 1));
+    let mut lab = Lab::new(&a);
+    joining(&mut lab, &a, &b);
+    assert!(has_abandon(&lab.run(SUSPECT * 2, &[])));
+    lab.run(ms(500), &[&b]);
+    lab.control.joined(id::Slice(0), &b);
+    assert_eq!(written(&lab.run(secs(1), &[&b])), None);
+    let join = |command: &Command| matches!(command, Command::Join { .. });
+    let later = lab.run(secs(12), &[&b]);
+    assert!(later.iter().any(join), "never copied to again");
+}
