--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,10 +8,13 @@
 
 mod clock;
 mod feed;
+mod handover;
 mod inbound;
 mod outbound;
+mod ownership;
 mod rebalance;
 mod replica;
+mod settlement;
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
--- a/src/engine/feed.rs
+++ b/src/engine/feed.rs
@@ -40,14 +40,14 @@
 
 /// Added to the sequence when another instance goes on with a feed. The copy may
 /// lag behind what the caller has seen; a caller drops what looks older.
-const SEQUENCE_LEAP: u32 = 1 << 16;
+pub(super) const SEQUENCE_LEAP: u32 = 1 << 16;
 
 /// Notifications after which the backup's copy of the sequence is refreshed; well
 /// under [`SEQUENCE_LEAP`], so that the leap always passes what the caller saw.
 const SEQUENCE_REFRESH: u32 = 1 << 14;
 
 /// Wrap of the sequence (RFC 7641, section 3.4).
-const SEQUENCE_MASK: u32 = (1 << 24) - 1;
+pub(super) const SEQUENCE_MASK: u32 = (1 << 24) - 1;
 
 /// Message numbers back from the newest in which a receipt is looked for.
 const RECEIPT_WINDOW: u16 = 256;
@@ -55,16 +55,6 @@
 /// Wait before a feed that no server takes is tried again.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
 
-/// How long a registration is kept after another instance took the feed over.
-pub(crate) const RELEASE_AFTER: Duration = Duration::from_secs(2);
-
-/// Time between two offers of feeds to the home that was unreachable.
-const RETURN_EVERY: Duration = Duration::from_millis(500);
-
-/// Feeds registered anew per tick: a home that takes over thousands must not
-/// flood the servers.
-const MOVES_PER_TICK: usize = 64;
-
 /// Silences after which a feed that no server takes is given up.
 const LOST_AFTER_SILENCES: u32 = 3;
 
@@ -95,14 +85,14 @@
 }
 
 /// Whether a sequence number is newer than another (RFC 7641, section 3.4).
-fn is_newer(number: u32, than: u32) -> bool {
+pub(super) fn is_newer(number: u32, than: u32) -> bool {
     const HALF: u32 = 1 << 23;
     let ahead = number.wrapping_sub(than) & SEQUENCE_MASK;
     ahead != 0 && ahead < HALF
 }
 
 impl Engine {
-    fn feed(&mut self, slice: id::Slice, key: &FeedKey) -> Option<&mut Feed> {
+    pub(super) fn feed(&mut self, slice: id::Slice, key: &FeedKey) -> Option<&mut Feed> {
         self.slices.get_mut(&slice)?.feeds.get_mut(key)
     }
 
@@ -250,7 +240,7 @@
         self.replicate(now, slice, item, None);
     }
 
-    fn replicate_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+    pub(super) fn replicate_feed(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
         let Some(feed) = self.feed(slice, key) else {
             return;
         };
@@ -429,7 +419,7 @@
     }
 
     /// Registers the feed anew: at its own server if that is well, else elsewhere.
-    fn renew(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
+    pub(super) fn renew(&mut self, now: Instant, slice: id::Slice, key: &FeedKey) {
         let Some(service) = self.service(&key.flow.service) else {
             return;
         };
@@ -534,180 +524,6 @@
             self.look_at(at, slice, key);
         }
     }
-
-    /// Starts looking after the feeds of a slice that another instance had.
-    pub(super) fn activate_feeds(&mut self, slice: id::Slice) {
-        let Some(state) = self.slices.get_mut(&slice) else {
-            return;
-        };
-        for (key, feed) in &mut state.feeds {
-            if feed.attempt.is_none() && feed.renewal.is_none() {
-                feed.sequence = (feed.sequence + SEQUENCE_LEAP) & SEQUENCE_MASK;
-                self.moves.push_back((slice, key.clone()));
-            }
-        }
-    }
-
-    /// Registers the next few feeds that wait to be moved.
-    pub(super) fn move_feeds(&mut self, now: Instant) {
-        for _ in 0..MOVES_PER_TICK {
-            let Some((slice, key)) = self.moves.pop_front() else {
-                return;
-            };
-            if !self.tends(slice) {
-                continue;
-            }
-            let Some(feed) = self.feed(slice, &key) else {
-                continue;
-            };
-            if feed.renewal.is_some() {
-                continue;
-            }
-            if feed.attempt.is_none() {
-                // Silence is counted from now on: the copy's time is another's.
-                feed.heard = now;
-                feed.confirmed = now;
-            }
-            self.renew(now, slice, &key);
-        }
-    }
-
-    /// Finds feeds whose server has begun to leave or is gone: left alone, these
-    /// would stand still until the profile's limit of silence.
-    pub(super) fn vacate(&mut self, now: Instant) {
-        let mut leaving = Vec::new();
-        for service in self.snapshot.services.values() {
-            for server in &service.servers {
-                let leaves = server.state().is_leaving();
-                let away = leaves || balance::is_gone(service, server, now);
-                if !away {
-                    self.vacated.remove(&server.id);
-                } else if self.vacated.insert(server.id.clone()) {
-                    leaving.push(server.id.clone());
-                }
-            }
-        }
-        if leaving.is_empty() {
-            return;
-        }
-        let mut moved = Vec::new();
-        for (slice, state) in &self.slices {
-            for (key, feed) in &state.feeds {
-                if feed.attempt.is_some() && leaving.contains(&feed.server) {
-                    moved.push((*slice, key.clone()));
-                }
-            }
-        }
-        // A hash map's order is random: the same events must give the same moves.
-        moved.sort();
-        self.moves.extend(moved);
-    }
-
-    /// Hands feeds that were taken in for an unreachable home to that home, again
-    /// and again until they are released here: a lost message would end them.
-    pub(super) fn return_feeds(&mut self, now: Instant, slice: id::Slice) {
-        // A registration under way counts: answered later, it would go on here
-        // beside the home's own.
-        let ours = |feed: &Feed| feed.attempt.is_some() || feed.renewal.is_some();
-        let state = self.slices.get(&slice);
-        if !state.is_some_and(|state| state.feeds.values().any(ours)) {
-            return;
-        }
-        self.offer_feeds(slice);
-        for round in 1..RELEASE_AFTER.as_millis() / RETURN_EVERY.as_millis() {
-            let at = now + RETURN_EVERY * round as u32;
-            self.schedule(at, Timer::Return(slice));
-        }
-        self.releases.push_back((now + RELEASE_AFTER, slice));
-    }
-
-    /// Offers feeds to the slice's home.
-    pub(super) fn offer_feeds(&mut self, slice: id::Slice) {
-        let row = self.table.row(slice);
-        let Some(home) = row.home.clone().filter(|home| *home != self.settings.me) else {
-            return;
-        };
-        let Some(state) = self.slices.get(&slice) else {
-            return;
-        };
-        let active = state.feeds.iter().filter(|(_, f)| f.attempt.is_some());
-        let offers: Vec<Action> = active
-            .map(|(key, feed)| Action::Peer {
-                to: home.clone(),
-                body: peer::Body::Adopt(peer::Adopt {
-                    slice: slice.0,
-                    feed: Some(pack_feed(key, feed)),
-                }),
-            })
-            .collect();
-        self.out.extend(offers);
-    }
-
-    /// Drops the registrations of slices that another instance looks after by now.
-    pub(super) fn release_feeds(&mut self, now: Instant) {
-        while self.releases.front().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, slice)) = self.releases.pop_front() else {
-                return;
-            };
-            if self.tends(slice) {
-                continue;
-            }
-            let keep = self.table.row(slice).is_backup(&self.settings.me);
-            self.release_slice(slice, keep);
-        }
-    }
-
-    fn release_slice(&mut self, slice: id::Slice, keep: bool) {
-        let Some(state) = self.slices.get_mut(&slice) else {
-            return;
-        };
-        let active = |(key, feed): (&FeedKey, &Feed)| {
-            let active = feed.attempt.is_some() || feed.renewal.is_some();
-            active.then(|| key.clone())
-        };
-        let keys: Vec<FeedKey> = state.feeds.iter().filter_map(active).collect();
-        for key in keys {
-            let Some(mut feed) = self.remove_feed(slice, &key) else {
-                continue;
-            };
-            if keep {
-                feed.attempt = None;
-                feed.renewal = None;
-                self.insert_feed(slice, key, feed);
-            }
-        }
-    }
-
-    /// Takes in a feed that another instance served meanwhile.
-    pub(super) fn adopt(&mut self, now: Instant, slice: id::Slice, key: FeedKey, feed: Feed) {
-        if !self.table.row(slice).is_home(&self.settings.me) {
-            return;
-        }
-        let sequence = (feed.sequence + SEQUENCE_LEAP) & SEQUENCE_MASK;
-        if let Some(known) = self.feed(slice, &key) {
-            // Both may have served it, and the caller takes what looks newest: it
-            // would drop all that comes from here with smaller numbers.
-            if !is_newer(feed.sequence, known.sequence) {
-                return;
-            }
-            known.sequence = sequence;
-            let idle = known.attempt.is_none() && known.renewal.is_none();
-            self.replicate_feed(now, slice, &key);
-            if idle {
-                self.moves.push_back((slice, key));
-            }
-            return;
-        }
-        let feed = Feed {
-            sequence,
-            heard: now,
-            confirmed: now,
-            ..feed
-        };
-        self.insert_feed(slice, key.clone(), feed);
-        self.replicate_feed(now, slice, &key);
-        self.moves.push_back((slice, key));
-    }
 }
 
 /// Packs a feed for a peer.
