--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -63,6 +63,11 @@
 
     /// Brings a request to whoever decides for it now.
     pub(super) fn settle_route(&mut self, now: Instant, mut arrival: Arrival) {
+        if self.table.is_empty() {
+            // Just started; the caller repeats it.
+            self.note(Reason::ParkFull);
+            return;
+        }
         let flow = &mut arrival.request.flow;
         let known = self.snapshot.services.get(&flow.service);
         let Some(service) = known.map(Arc::clone) else {
@@ -431,6 +436,9 @@
         if self.feed_receipt(now, slice, &flow, message, receipt) {
             return;
         }
+        if self.table.is_empty() {
+            return;
+        }
         if let Route::To(holder) = self.route(slice, Kind::Close) {
             self.relay(&holder, &flow, datagram, hops);
         }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -195,3 +195,23 @@
     assert_eq!(forwards(&actions), 0);
     assert_eq!(outcomes(&actions), [Outcome::Unknown]);
 }
+
+// A datagram comes in the moment after an instance has bound its address, before
+// its worker has the slice table. Looking up the slice's row would end the worker,
+// and with it half of the instance's flows, without a word.
+#[test]
+fn a_datagram_before_the_first_table_does_no_harm() {
+    let now = Instant::now();
+    let mut engine = engine("a#1", now);
+    assert_eq!(forwards(&engine.handle(now, ask(7))), 0);
+    let receipt = Event::Receipt {
+        flow: booking(7).flow,
+        message: 1,
+        receipt: godwitreel::request::Receipt::Rejected,
+        hops: 0,
+        datagram: Bytes::new(),
+    };
+    assert_eq!(engine.handle(now, receipt).len(), 0);
+    engine.handle(now, table(1, "a#1", None, false));
+    assert_eq!(forwards(&engine.handle(now, ask(8))), 1);
+}
