Give a refusing server one trial, not one of each worker

Cause, from reading: whether a trial is under way and counting it were two steps, so two workers could both begin one. Ruled out: the pauses themselves (2, 4, 8 s). Change: looking and counting are one step under the server's lock; the worker that comes second takes another server. tests/policy.rs two_workers_share_one_trial_of_a_refusing_server shows the step alone. The bound of the drain test stays as it was.

--- a/src/engine/outbound.rs
+++ b/src/engine/outbound.rs
@@ -110,7 +110,19 @@
             balance::choose(&service, &key.flow, work, zone, &tried, now, &mut self.rng)
         });
         match choice {
-            Some(server) => self.forward(now, slice, key, &service, server),
+            Some(server) if part.later => {
+                server.state().outstanding += 1;
+                self.forward(now, slice, key, &service, server);
+            }
+            Some(server) if server.reserve() => {
+                self.forward(now, slice, key, &service, server);
+            }
+            Some(server) => {
+                if let Some(record) = self.record(slice, key) {
+                    record.tried.push(server.id.clone());
+                }
+                self.dispatch(now, slice, key);
+            }
             None if waiting => {}
             None => {
                 let reason = if tried.is_empty() {
@@ -198,7 +210,6 @@
         if later {
             self.set_pin(now, slice, key, &server, attempt);
         }
-        server.state().outstanding += 1;
         if !once {
             let timer = Timer::Attempt(slice, key.clone(), attempt);
             self.schedule(now + service.profile.attempt_timeout(), timer);
--- a/src/server.rs
+++ b/src/server.rs
@@ -223,6 +223,20 @@
         state.refusals = (state.refusals + 1).min(MAX_DOUBLINGS);
     }
 
+    /// Counts one more request in progress; tells whether it may be sent.
+    ///
+    /// Two workers may choose a server at the same moment that one of them is to
+    /// try again after a pause. Only the first gets it, since a server that leaves
+    /// by its refusals alone is owed one trial, not one of each worker.
+    pub fn reserve(&self) -> bool {
+        let mut state = self.state();
+        if state.is_on_trial() {
+            return false;
+        }
+        state.outstanding += 1;
+        true
+    }
+
     /// Notes that it handled something.
     pub fn succeed(&self) {
         let mut state = self.state();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -344,3 +344,25 @@
     assert_eq!(profile.policy, Policy::LeastLoaded);
     assert_eq!(profile.eject_after, 3);
 }
+
+// A server refused and its pause is over. Two workers choose it at the same moment:
+// each looked before the other had counted its request. Only one may try it, or a
+// server that leaves by its refusals alone gets a trial from every worker.
+#[test]
+fn two_workers_share_one_trial_of_a_refusing_server() {
+    let now = Instant::now();
+    let listed: document::Server = serde_json::from_value(serde_json::json!({
+        "service": "dispatch", "zone": "bole", "address": "127.0.0.1:1",
+        "health": "127.0.0.1:2", "slots": 2,
+    }))
+    .expect("a server");
+    let server = Server::new("d1".parse().expect("a name"), &listed);
+    assert!(server.reserve() && server.reserve());
+    server.state().outstanding = 0;
+    server.refuse(now, Duration::ZERO);
+    assert!(server.reserve());
+    assert!(!server.reserve());
+    server.state().outstanding = 0;
+    server.succeed();
+    assert!(server.reserve() && server.reserve());
+}
