--- a/src/checks.rs
+++ b/src/checks.rs
@@ -22,9 +22,9 @@
 /// Largest budget for control traffic, in bytes per second.
 const MAX_PEER_BYTES: u64 = 10_000_000;
 
-type Check = Option<Refusal>;
+pub(crate) type Check = Option<Refusal>;
 
-fn refuse(field: impl ToString, value: impl ToString, allowed: impl ToString) -> Check {
+pub(crate) fn refuse(field: impl ToString, value: impl ToString, allowed: impl ToString) -> Check {
     Some(Refusal {
         field: field.to_string(),
         value: value.to_string(),
@@ -32,7 +32,7 @@
     })
 }
 
-fn range(field: &str, value: u64, least: u64, most: u64) -> Check {
+pub(crate) fn range(field: &str, value: u64, least: u64, most: u64) -> Check {
     if (least..=most).contains(&value) {
         return None;
     }
--- a/src/client.rs
+++ b/src/client.rs
@@ -45,6 +45,10 @@
         self.transport.counts()
     }
 
+    pub(crate) fn transport(&self) -> Arc<Transport> {
+        Arc::clone(&self.transport)
+    }
+
     pub(crate) fn options(&self) -> &Options {
         self.transport.options()
     }
@@ -101,8 +105,9 @@
         let call = Call {
             step: "swap",
             kind: Kind::Write,
-            path: "/v3/kv/txn",
-            body,
+            path: "/v3/kv/txn".into(),
+            body: Some(body),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::swap).await
     }
@@ -116,8 +121,9 @@
         let call = Call {
             step: "erase",
             kind: Kind::Write,
-            path: "/v3/kv/txn",
-            body: call::erase(key, expected),
+            path: "/v3/kv/txn".into(),
+            body: Some(call::erase(key, expected)),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::swap).await
     }
@@ -131,8 +137,9 @@
         let call = Call {
             step: "delete",
             kind: Kind::Write,
-            path: "/v3/kv/deleterange",
-            body: call::key(key),
+            path: "/v3/kv/deleterange".into(),
+            body: Some(call::key(key)),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::deletion).await
     }
@@ -147,8 +154,9 @@
         let call = Call {
             step: "lease grant",
             kind: Kind::Lease,
-            path: "/v3/lease/grant",
-            body: call::grant(ttl.as_secs()),
+            path: "/v3/lease/grant".into(),
+            body: Some(call::grant(ttl.as_secs())),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::grant).await
     }
@@ -162,8 +170,9 @@
         let call = Call {
             step: "lease keepalive",
             kind: Kind::Lease,
-            path: "/v3/lease/keepalive",
-            body: call::lease(lease),
+            path: "/v3/lease/keepalive".into(),
+            body: Some(call::lease(lease)),
+            wait: Duration::ZERO,
         };
         let seconds = self.transport.call(&call, gateway::keepalive).await?;
         Ok(Duration::from_secs(seconds))
@@ -178,8 +187,9 @@
         let call = Call {
             step: "lease revoke",
             kind: Kind::Lease,
-            path: "/v3/lease/revoke",
-            body: call::lease(lease),
+            path: "/v3/lease/revoke".into(),
+            body: Some(call::lease(lease)),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::revocation).await
     }
@@ -198,8 +208,9 @@
         let call = Call {
             step: "watch",
             kind: Kind::Watch,
-            path: "/v3/watch",
-            body: call::watch(prefix, from_revision),
+            path: "/v3/watch".into(),
+            body: Some(call::watch(prefix, from_revision)),
+            wait: Duration::ZERO,
         };
         watch::stream(Arc::clone(&self.transport), call)
     }
@@ -213,8 +224,9 @@
         let call = Call {
             step,
             kind: Kind::Read,
-            path: "/v3/kv/range",
-            body,
+            path: "/v3/kv/range".into(),
+            body: Some(body),
+            wait: Duration::ZERO,
         };
         self.transport.call(&call, decode).await
     }
--- a/src/collector.rs
+++ b/src/collector.rs
@@ -1,6 +1,7 @@
 //! Metrics that are read from others' counts at each scrape.
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -14,11 +15,11 @@
 use crate::metric::Name;
 use crate::metric::PLATFORM_CALLS;
 use crate::metric::PLATFORM_FAILURES;
-use crate::platform::Client;
 use crate::platform::Counts;
+use crate::transport::Transport;
 
 /// Reads the platform client's own counts at each scrape, so that they stand once.
-pub(crate) struct Platform(pub(crate) Client);
+pub(crate) struct Platform(pub(crate) Arc<Transport>);
 
 impl fmt::Debug for Platform {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,25 @@
+//! One entry instance: sockets, the mirror of the store and the HTTP ports
+//! around the decisions of [`crate::flow`].
+//!
+//! What the packets and the store's entries look like is the adapter's to say,
+//! in [`Adapter`]; everything that decides, remembers or recovers is here and in
+//! [`crate::flow`].
+
+mod adapter;
+mod checks;
+mod http;
+mod journal;
+mod metric;
+mod run;
+mod settings;
+mod socket;
+mod stop;
+mod view;
+
+pub use adapter::Adapter;
+pub use adapter::Codec;
+pub use adapter::ENVELOPE;
+pub use adapter::Entry;
+pub use adapter::Vocabulary;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/src/entry/adapter.rs
@@ -0,0 +1,62 @@
+//! What an adapter has to supply.
+
+use crate::flow::Routes;
+use crate::flow::Segment;
+use crate::flow::Serial;
+use crate::flow::Server;
+use crate::flow::Tag;
+use crate::gateway::Decoded;
+use crate::id;
+use crate::platform;
+use crate::poll::Dialect;
+
+/// Bytes in front of a packet that name the server it is meant for.
+pub const ENVELOPE: usize = 8;
+
+/// How packets look.
+#[derive(Clone, Copy, Debug)]
+pub struct Codec {
+    /// Largest packet, in bytes.
+    pub largest: usize,
+    /// Reads a packet; the error is a short code for logs and metrics.
+    pub decode: fn(&[u8]) -> Result<Segment, &'static str>,
+    /// Writes the routing tag into a packet that was decoded.
+    pub set_tag: fn(&mut [u8], Tag),
+    /// The packet that resets the flow of a caller's packet.
+    pub reset: fn(&Segment) -> Vec<u8>,
+    /// What names the server in front of a packet.
+    pub envelope: fn(Serial) -> [u8; ENVELOPE],
+}
+
+/// What an entry of the store means.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// A backend server.
+    Server(Server),
+    /// The configuration.
+    Routes(Routes),
+    /// Nothing that concerns an entry instance.
+    Other,
+}
+
+/// How the store's entries look.
+#[derive(Clone, Copy, Debug)]
+pub struct Vocabulary {
+    /// Prefix of all keys that are read.
+    pub prefix: &'static str,
+    /// Reads an entry.
+    pub read: fn(&platform::Entry) -> Decoded<Entry>,
+    /// The server whose entry has this key; `None` for other keys.
+    pub server: fn(&str) -> Option<id::Server>,
+}
+
+/// Everything that translates between the product and a platform.
+#[derive(Clone, Copy, Debug)]
+pub struct Adapter {
+    /// Packets.
+    pub codec: Codec,
+    /// Calls to the store.
+    pub dialect: Dialect,
+    /// The store's entries.
+    pub vocabulary: Vocabulary,
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,114 @@
+//! The HTTP ports: readiness for the routers, metrics and status for operators.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::response::IntoResponse;
+use axum::routing::get;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::entry::metric::Metrics;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id;
+use crate::metric::CONTENT_TYPE as OPEN_METRICS;
+
+/// What an instance believes.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    pub(crate) instance: id::Instance,
+    pub(crate) zone: id::Zone,
+    pub(crate) is_ready: bool,
+    /// Version of the configuration.
+    pub(crate) version: u64,
+    pub(crate) flows: usize,
+    /// Time since the store last answered, in milliseconds.
+    pub(crate) contact_age_ms: Option<u64>,
+    pub(crate) servers: Vec<Server>,
+}
+
+/// What an instance believes about a backend server.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Server {
+    pub(crate) server: id::Server,
+    pub(crate) service: id::Service,
+    pub(crate) zone: id::Zone,
+    pub(crate) is_draining: bool,
+    /// Time since its entry went missing, in milliseconds.
+    pub(crate) missing_ms: Option<u64>,
+    pub(crate) is_suspected: bool,
+    /// Requests of this instance in progress there.
+    pub(crate) outstanding: u32,
+    pub(crate) flows: u32,
+}
+
+/// Asks the task that holds the state.
+pub(crate) type Question = oneshot::Sender<Status>;
+
+/// What the ports share with that task.
+pub(crate) struct Shared {
+    pub(crate) is_ready: AtomicBool,
+    pub(crate) metrics: Metrics,
+    pub(crate) questions: mpsc::Sender<Question>,
+}
+
+/// Serves both ports until the process ends.
+pub(crate) async fn serve(
+    ready: SocketAddrV4,
+    metrics: SocketAddrV4,
+    shared: Arc<Shared>,
+) -> Result<()> {
+    let routers = Router::new()
+        .route("/ready", get(tell_ready))
+        .with_state(Arc::clone(&shared));
+    let operators = Router::new()
+        .route("/metrics", get(tell_metrics))
+        .route("/status", get(tell_status))
+        .with_state(shared);
+    let first = listen(ready).await?;
+    let second = listen(metrics).await?;
+    tokio::spawn(async move { axum::serve(first, routers).await });
+    tokio::spawn(async move { axum::serve(second, operators).await });
+    Ok(())
+}
+
+async fn listen(address: SocketAddrV4) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Io {
+            step: "bind HTTP address",
+            peer: address.to_string(),
+            source,
+        })
+}
+
+async fn tell_ready(State(shared): State<Arc<Shared>>) -> StatusCode {
+    if shared.is_ready.load(Ordering::Relaxed) {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn tell_metrics(State(shared): State<Arc<Shared>>) -> impl IntoResponse {
+    ([(CONTENT_TYPE, OPEN_METRICS)], shared.metrics.encode())
+}
+
+async fn tell_status(State(shared): State<Arc<Shared>>) -> impl IntoResponse {
+    let (answer, status) = oneshot::channel();
+    if shared.questions.send(answer).await.is_err() {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let status = status.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(Json(status))
+}
--- /dev/null
+++ b/src/entry/metric.rs
@@ -0,0 +1,148 @@
+//! Metrics of an entry instance, as OpenMetrics text.
+//!
+//! All labels come from fixed lists, so that no caller can make the text grow.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::collector::Platform;
+use crate::flow;
+use crate::label::KindLabels;
+use crate::transport::Transport;
+
+/// Bounds of the handshake's buckets, in seconds: one round trip between caller
+/// and instance up to the third copy of an opening packet.
+const HANDSHAKE: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.4];
+
+/// Bounds of the answers' buckets, in seconds: the shortest request known to the
+/// longest deadline.
+const ANSWER: [f64; 11] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+/// Counters and gauges.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) packets: Family<KindLabels, Counter>,
+    pub(crate) dropped: Family<KindLabels, Counter>,
+    pub(crate) decisions: Family<KindLabels, Counter>,
+    pub(crate) refused_entries: Counter,
+    pub(crate) omitted_lines: Counter,
+    pub(crate) handshake: Histogram,
+    pub(crate) answer: Histogram,
+    pub(crate) servers: Gauge,
+    pub(crate) flows: Gauge,
+    pub(crate) version: Gauge,
+    pub(crate) ready: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new(store: Arc<Transport>) -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("godwitreel_entry"),
+            packets: Family::default(),
+            dropped: Family::default(),
+            decisions: Family::default(),
+            refused_entries: Counter::default(),
+            omitted_lines: Counter::default(),
+            handshake: Histogram::new(HANDSHAKE),
+            answer: Histogram::new(ANSWER),
+            servers: Gauge::default(),
+            flows: Gauge::default(),
+            version: Gauge::default(),
+            ready: Gauge::default(),
+        };
+        metrics.register(store);
+        metrics
+    }
+
+    fn register(&mut self, store: Arc<Transport>) {
+        let registry = &mut self.registry;
+        registry.register(
+            "packets",
+            "Packets from callers, by outcome",
+            self.packets.clone(),
+        );
+        registry.register(
+            "dropped",
+            "Packets dropped, by reason",
+            self.dropped.clone(),
+        );
+        registry.register("decisions", "Decisions, by kind", self.decisions.clone());
+        registry.register(
+            "refused_entries",
+            "Entries of the store that could not be read",
+            self.refused_entries.clone(),
+        );
+        registry.register(
+            "omitted_log_lines",
+            "Log lines left out to keep the rate",
+            self.omitted_lines.clone(),
+        );
+        registry.register(
+            "handshake_seconds",
+            "Time from an opening packet to the caller's next one",
+            self.handshake.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time from a request's first packet to the caller's acknowledgement of the answer",
+            self.answer.clone(),
+        );
+        registry.register("servers", "Backend servers listed", self.servers.clone());
+        registry.register("flows", "Flows remembered", self.flows.clone());
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.version.clone(),
+        );
+        registry.register(
+            "ready",
+            "1 if routers may send packets here",
+            self.ready.clone(),
+        );
+        registry.register_collector(Box::new(Platform(store)));
+    }
+
+    pub(crate) fn count_packet(&self, outcome: &'static str) {
+        self.packets
+            .get_or_create(&KindLabels { kind: outcome })
+            .inc();
+    }
+
+    pub(crate) fn count_drop(&self, reason: &'static str) {
+        self.dropped
+            .get_or_create(&KindLabels { kind: reason })
+            .inc();
+    }
+
+    pub(crate) fn count_decision(&self, kind: &'static str) {
+        self.decisions.get_or_create(&KindLabels { kind }).inc();
+    }
+
+    pub(crate) fn observe(histogram: &Histogram, taken: Duration) {
+        histogram.observe(taken.as_secs_f64());
+    }
+
+    /// Creates every reason's counter, so that a rate can be taken from the first.
+    pub(crate) fn prepare(&self) {
+        for reason in flow::Drop::ALL {
+            let kind = reason.code();
+            drop(self.dropped.get_or_create(&KindLabels { kind }));
+        }
+    }
+
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string fails only when a metric does, and none here does.
+        if text::encode(&mut text, &self.registry).is_err() {
+            text.clear();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,462 @@
+//! The task that holds an instance's state, and the loop around it.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::entry::Adapter;
+use crate::entry::Settings;
+use crate::entry::http;
+use crate::entry::http::Shared;
+use crate::entry::http::Status;
+use crate::entry::journal;
+use crate::entry::journal::Context;
+use crate::entry::journal::Journal;
+use crate::entry::metric::Metrics;
+use crate::entry::socket::Socket;
+use crate::entry::stop::Stop;
+use crate::entry::view::Reading;
+use crate::error::Error;
+use crate::error::Result;
+use crate::flow::Belief;
+use crate::flow::Options;
+use crate::flow::Plane;
+use crate::flow::Presence;
+use crate::flow::Timing;
+use crate::flow::Verdict;
+use crate::mirror;
+use crate::mirror::Pace;
+use crate::mirror::Update;
+use crate::pacing;
+use crate::platform;
+use crate::poll::Reader;
+
+/// Packets taken before anything else gets its turn.
+const BATCH: usize = 256;
+
+/// Longest time between two looks at what is due.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Updates of the mirror that may wait; it waits for room beyond.
+const UPDATES: usize = 256;
+
+/// Questions for the status that may wait.
+const QUESTIONS: usize = 16;
+
+/// Flow forgotten after this silence while no configuration says.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time for a call to the store beside the time that it may wait. Answers take
+/// 4 ms, in bad hours 250.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time for connecting to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Delays between tries while the store is silent. A tenth of a second at first,
+/// as most outages at the start of an instance are its own; a second at most,
+/// since new flows must follow the store 4 s after it is back.
+const BACKOFF: pacing::Bounds = pacing::Bounds {
+    first: Duration::from_millis(100),
+    most: Duration::from_secs(1),
+};
+
+struct Instance {
+    settings: Settings,
+    adapter: Adapter,
+    plane: Plane,
+    socket: Socket,
+    journal: Journal,
+    shared: Arc<Shared>,
+    log: Logger,
+    /// When the store last answered.
+    contact: Option<Instant>,
+    stop: Option<Stop>,
+}
+
+/// Runs an entry instance until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or signals cannot be received.
+pub async fn run(file: PathBuf, settings: Settings, adapter: Adapter, log: Logger) -> Result<()> {
+    let mut signals = Signals::new()?;
+    let reader = reader(&settings, &adapter)?;
+    let (questions, mut asked) = mpsc::channel(QUESTIONS);
+    let metrics = Metrics::new(reader.transport());
+    metrics.prepare();
+    let shared = Arc::new(Shared {
+        is_ready: AtomicBool::new(false),
+        metrics,
+        questions,
+    });
+    let socket = Socket::bind(settings.packets, adapter.codec).await?;
+    http::serve(settings.ready, settings.metrics, Arc::clone(&shared)).await?;
+    let mut updates = follow(&settings, &adapter, reader);
+    info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
+        "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
+    let now = Instant::now();
+    let mut instance = Instance {
+        plane: Plane::new(options(&settings)),
+        journal: Journal::new(log.clone(), settings.log_lines_per_second, now),
+        socket,
+        shared,
+        log,
+        contact: None,
+        stop: None,
+        adapter,
+        settings,
+    };
+    while !instance.is_over(Instant::now()) {
+        let wake = instance.wake();
+        tokio::select! {
+            biased;
+            signal = signals.next() => instance.signal(signal, &file),
+            Some(update) = updates.recv() => instance.learn(update),
+            readable = instance.socket.readable() => {
+                if let Err(error) = readable {
+                    warn!(instance.log, "packet socket failed"; "error" => %error);
+                }
+            }
+            Some(question) = asked.recv() => {
+                // Whoever asked may have left.
+                let _ = question.send(instance.status());
+            }
+            () = time::sleep_until(wake) => {}
+        }
+        instance.work();
+    }
+    info!(instance.log, "stopped"; "flows" => instance.plane.flows());
+    Ok(())
+}
+
+fn options(settings: &Settings) -> Options {
+    Options {
+        zone: settings.zone.clone(),
+        spill: settings.spill,
+        flow_ttl: settings.flow_ttl(),
+        idle_timeout: IDLE_TIMEOUT,
+        max_flows: settings.max_flows as usize,
+        seed: seed(settings),
+    }
+}
+
+/// Differs between instances, so that they do not act in step.
+fn seed(settings: &Settings) -> u64 {
+    let mut hasher = SipHasher13::new();
+    settings.instance.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn reader(settings: &Settings, adapter: &Adapter) -> Result<Reader> {
+    let options = platform::Options {
+        call_timeout: CALL_TIMEOUT,
+        connect_timeout: CONNECT_TIMEOUT,
+        backoff: BACKOFF,
+        reads: settings.store.reads_per_second,
+        seed: seed(settings),
+        ..platform::Options::default()
+    };
+    Reader::new(settings.store.addresses.clone(), options, adapter.dialect)
+}
+
+fn follow(settings: &Settings, adapter: &Adapter, reader: Reader) -> mpsc::Receiver<Update> {
+    let (sender, updates) = mpsc::channel(UPDATES);
+    let pace = Pace {
+        wait: settings.notice().saturating_sub(CALL_TIMEOUT),
+        gather: settings.gather(),
+    };
+    let prefix = adapter.vocabulary.prefix.to_owned();
+    tokio::spawn(mirror::mirror(reader, prefix, pace, sender));
+    updates
+}
+
+impl Instance {
+    fn is_over(&self, now: Instant) -> bool {
+        self.stop.is_some_and(|stop| now >= stop.ends_at())
+    }
+
+    fn wake(&self) -> Instant {
+        let mut wake = Instant::now() + LOOK_EVERY;
+        if let Some(due) = self.plane.next_due() {
+            wake = wake.min(due);
+        }
+        if let Some(stop) = &self.stop {
+            wake = wake.min(stop.ends_at());
+        }
+        wake
+    }
+
+    /// Takes the packets that wait, then looks at what is due: in this order,
+    /// since the answers that something waits for may be among the packets.
+    fn work(&mut self) {
+        let mut is_drained = false;
+        for _ in 0..BATCH {
+            match self.socket.receive() {
+                Ok(Some(length)) => self.receive(length),
+                Ok(None) => {
+                    is_drained = true;
+                    break;
+                }
+                Err(error) => {
+                    self.shared.metrics.count_packet("receive_failed");
+                    warn!(self.log, "receiving failed"; "error" => %error);
+                    break;
+                }
+            }
+        }
+        if is_drained {
+            self.expire();
+        }
+        self.report();
+    }
+
+    fn receive(&mut self, length: usize) {
+        let now = Instant::now();
+        if let Some(stop) = &mut self.stop {
+            stop.note_packet(now);
+        }
+        let packet = self.socket.packet(length);
+        let segment = match (self.adapter.codec.decode)(packet) {
+            Ok(segment) => segment,
+            Err(reason) => {
+                self.shared.metrics.count_packet("malformed");
+                self.shared.metrics.count_drop(reason);
+                return;
+            }
+        };
+        let verdict = self.plane.receive(now, &segment, packet);
+        let (outcome, sent) = match verdict {
+            Verdict::Forward(target) => ("forwarded", self.socket.forward(length, &target)),
+            Verdict::Reset => ("reset", self.socket.reset(&segment)),
+            Verdict::Drop(reason) => {
+                self.shared.metrics.count_drop(reason.code());
+                ("dropped", Ok(()))
+            }
+        };
+        self.shared.metrics.count_packet(outcome);
+        self.count_send(sent);
+    }
+
+    /// A packet that cannot be sent is lost like any other; its sender repeats it.
+    fn count_send(&mut self, sent: io::Result<()>) {
+        if sent.is_err() {
+            self.shared.metrics.count_packet("send_failed");
+        }
+    }
+
+    fn expire(&mut self) {
+        for resend in self.plane.expire(Instant::now()) {
+            let sent = self.socket.resend(&resend);
+            self.shared.metrics.count_packet("resent");
+            self.count_send(sent);
+        }
+    }
+
+    fn report(&mut self) {
+        let now = Instant::now();
+        let context = Context {
+            contact_age_ms: self.contact_age_ms(now),
+        };
+        let metrics = &self.shared.metrics;
+        for timing in self.plane.take_timings() {
+            match timing {
+                Timing::Handshake(taken) => Metrics::observe(&metrics.handshake, taken),
+                Timing::Answer(taken) => Metrics::observe(&metrics.answer, taken),
+            }
+        }
+        let (notes, omitted) = self.plane.take_notes();
+        self.journal.omit(omitted);
+        metrics.omitted_lines.inc_by(omitted);
+        for note in &notes {
+            metrics.count_decision(journal::kind(note));
+            if !self.journal.write(now, note, context) {
+                metrics.omitted_lines.inc();
+            }
+        }
+    }
+
+    fn contact_age_ms(&self, now: Instant) -> Option<u64> {
+        self.contact.map(|at| (now - at).as_millis() as u64)
+    }
+
+    fn learn(&mut self, update: Update) {
+        let now = Instant::now();
+        self.tell_contact(now, &update);
+        let reading = Reading::new(&self.adapter.vocabulary, update);
+        for refusal in &reading.refused {
+            self.shared.metrics.refused_entries.inc();
+            warn!(self.log, "entry of the store refused"; "key" => &refusal.key,
+                "reason" => &refusal.reason);
+        }
+        for belief in reading.beliefs {
+            self.believe(now, belief);
+        }
+        self.set_gauges();
+    }
+
+    /// Logs lost and regained contact.
+    fn tell_contact(&mut self, now: Instant, update: &Update) {
+        match update {
+            Update::Silent { reason } => {
+                warn!(self.log, "store lost"; "reason" => reason,
+                    "view_age_ms" => self.contact_age_ms(now));
+            }
+            Update::Reset {
+                entries, revision, ..
+            } => info!(self.log, "store read"; "entries" => entries.len(),
+                "revision" => revision, "view_age_ms" => self.contact_age_ms(now)),
+            Update::Contact => self.contact = Some(now),
+            Update::Change(_) | Update::Refused(_) => {}
+        }
+    }
+
+    fn believe(&mut self, now: Instant, belief: Belief) {
+        let told = describe(&belief);
+        let is_new = self.plane.learn(now, belief);
+        if let Some((what, subject)) = told {
+            info!(self.log, "belief"; "what" => what, "subject" => subject, "is_new" => is_new);
+        }
+    }
+
+    fn set_gauges(&self) {
+        let metrics = &self.shared.metrics;
+        let is_ready = self.plane.is_ready() && self.stop.is_none();
+        if is_ready != self.shared.is_ready.swap(is_ready, Ordering::Relaxed) {
+            info!(self.log, "readiness"; "is_ready" => is_ready);
+        }
+        metrics.ready.set(i64::from(is_ready));
+        metrics.servers.set(self.plane.directory().listed() as i64);
+        metrics.flows.set(self.plane.flows() as i64);
+        metrics.version.set(self.plane.version() as i64);
+    }
+
+    fn signal(&mut self, signal: Asked, file: &Path) {
+        match signal {
+            Asked::Stop if self.stop.is_none() => {
+                info!(self.log, "stopping"; "flows" => self.plane.flows());
+                self.stop = Some(Stop::new(Instant::now(), self.settings.grace()));
+                self.set_gauges();
+            }
+            Asked::Stop => {}
+            Asked::Reload => self.reload(file),
+        }
+    }
+
+    /// Takes over what can change while the process runs. Settings that cannot
+    /// be read leave those in force.
+    fn reload(&mut self, file: &Path) {
+        match Settings::load(file) {
+            Ok(settings) => {
+                self.plane.set_spill(settings.spill);
+                self.settings.grace_ms = settings.grace_ms;
+                self.settings.spill = settings.spill;
+                info!(self.log, "settings reloaded"; "spill" => settings.spill,
+                    "grace_ms" => settings.grace_ms);
+            }
+            Err(error) => {
+                warn!(self.log, "settings refused"; "error" => %error);
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = Instant::now();
+        let directory = self.plane.directory();
+        let mut servers: Vec<_> = directory
+            .records()
+            .map(|record| http::Server {
+                server: record.server.id.clone(),
+                service: record.server.service.clone(),
+                zone: record.server.zone.clone(),
+                is_draining: record.server.presence == Presence::Draining,
+                missing_ms: record
+                    .missing_since
+                    .map(|since| (now - since).as_millis() as u64),
+                is_suspected: record.evidence.is_suspected(now),
+                outstanding: record.outstanding,
+                flows: record.flows,
+            })
+            .collect();
+        servers.sort_by(|a, b| a.server.cmp(&b.server));
+        Status {
+            instance: self.settings.instance.clone(),
+            zone: self.settings.zone.clone(),
+            is_ready: self.shared.is_ready.load(Ordering::Relaxed),
+            version: self.plane.version(),
+            flows: self.plane.flows(),
+            contact_age_ms: self.contact_age_ms(now),
+            servers,
+        }
+    }
+}
+
+/// What a belief is about, for the log.
+fn describe(belief: &Belief) -> Option<(&'static str, String)> {
+    match belief {
+        Belief::Servers { listed, .. } => Some(("servers listed", listed.len().to_string())),
+        Belief::Server(server) => match server.presence {
+            Presence::Ready => Some(("server ready", server.id.to_string())),
+            Presence::Draining => Some(("server draining", server.id.to_string())),
+        },
+        Belief::Gone(server) => Some(("server gone", server.to_string())),
+        Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
+        Belief::Contact(_) => None,
+    }
+}
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    Stop,
+    Reload,
+}
+
+/// The signals that an instance obeys.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        let listen = |kind| {
+            signal(kind).map_err(|source| Error::Io {
+                step: "signals",
+                peer: "system".to_owned(),
+                source,
+            })
+        };
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+
+    async fn next(&mut self) -> Asked {
+        tokio::select! {
+            _ = self.terminate.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.hangup.recv() => Asked::Reload,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/settings.rs
@@ -0,0 +1,146 @@
+//! Settings of one entry instance, in JSON with comments.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::allowance::Rate;
+use crate::entry::checks;
+use crate::error::Result;
+use crate::id;
+use crate::jsonc::Source;
+use crate::platform::Base;
+use crate::settings;
+use crate::settings::Log;
+
+/// The store and this instance's share of it.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Its addresses, which are one store.
+    pub addresses: Vec<Base>,
+    /// Reads that this instance may make.
+    #[serde(default = "default_reads")]
+    pub reads_per_second: Rate,
+    /// Longest time in which a dead connection may go unnoticed, in
+    /// milliseconds. Operators' changes must be in force 3 to 5 s after they
+    /// can reach the instance.
+    #[serde(default = "default_notice_ms")]
+    pub notice_ms: u64,
+    /// Pause in which changes gather, in milliseconds.
+    #[serde(default = "default_gather_ms")]
+    pub gather_ms: u64,
+}
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: id::Instance,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// UDP address for callers' packets, bound here.
+    pub packets: SocketAddrV4,
+    /// HTTP address that tells whether to send packets here, bound here.
+    pub ready: SocketAddrV4,
+    /// HTTP address for metrics and status, bound here.
+    pub metrics: SocketAddrV4,
+    /// The store.
+    pub store: Store,
+    /// Longest life of a flow, in seconds.
+    #[serde(default = "default_flow_ttl_s")]
+    pub flow_ttl_s: u64,
+    /// Longest planned stop, in milliseconds.
+    #[serde(default = "default_grace_ms")]
+    pub grace_ms: u64,
+    /// Requests a slot by which a server of another zone must be less loaded
+    /// than this zone's to get a new flow.
+    #[serde(default = "default_spill")]
+    pub spill: f64,
+    /// Flows remembered at most.
+    #[serde(default = "default_max_flows")]
+    pub max_flows: u32,
+    /// Log lines a second at most; what is beyond is counted.
+    #[serde(default = "default_log_rate")]
+    pub log_lines_per_second: Rate,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// A hundredth of what the smallest store known serves.
+fn default_reads() -> Rate {
+    Rate(20)
+}
+
+fn default_notice_ms() -> u64 {
+    3_000
+}
+
+fn default_gather_ms() -> u64 {
+    1_000
+}
+
+fn default_flow_ttl_s() -> u64 {
+    60
+}
+
+fn default_grace_ms() -> u64 {
+    6_000
+}
+
+fn default_spill() -> f64 {
+    2.0
+}
+
+fn default_max_flows() -> u32 {
+    64_000
+}
+
+fn default_log_rate() -> Rate {
+    Rate(100)
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, or as [`Settings::parse`] does.
+    pub fn load(path: &Path) -> Result<Self> {
+        Self::parse(path, &settings::read(path)?)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::Error::Field`] for the first field that is refused.
+    pub fn parse(file: &Path, text: &str) -> Result<Self> {
+        let source = Source::new(file, text)?;
+        let settings: Self = source.parse()?;
+        match checks::settings(&settings) {
+            Some(refusal) => Err(source.refuse(refusal)),
+            None => Ok(settings),
+        }
+    }
+
+    pub(crate) fn notice(&self) -> Duration {
+        Duration::from_millis(self.store.notice_ms)
+    }
+
+    pub(crate) fn gather(&self) -> Duration {
+        Duration::from_millis(self.store.gather_ms)
+    }
+
+    pub(crate) fn flow_ttl(&self) -> Duration {
+        Duration::from_secs(self.flow_ttl_s)
+    }
+
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms)
+    }
+}
--- /dev/null
+++ b/src/entry/view.rs
@@ -0,0 +1,77 @@
+//! From the store's entries to beliefs of the decisions.
+
+use crate::entry::Entry;
+use crate::entry::Vocabulary;
+use crate::flow::Belief;
+use crate::mirror::Update;
+use crate::platform;
+use crate::platform::Change;
+use crate::poll::Refusal;
+
+/// What an update of the mirror says, and which entries could not be read.
+#[derive(Debug, Default)]
+pub(crate) struct Reading {
+    pub(crate) beliefs: Vec<Belief>,
+    pub(crate) refused: Vec<Refusal>,
+}
+
+impl Reading {
+    pub(crate) fn new(vocabulary: &Vocabulary, update: Update) -> Self {
+        let mut reading = Self::default();
+        match update {
+            Update::Reset {
+                entries, refused, ..
+            } => reading.reset(vocabulary, &entries, refused),
+            Update::Change(Change::Put(entry)) => reading.put(vocabulary, &entry),
+            Update::Change(Change::Delete { key, .. }) => {
+                let server = (vocabulary.server)(&key);
+                reading.beliefs.extend(server.map(Belief::Gone));
+            }
+            Update::Refused(refusal) => reading.refused.push(refusal),
+            Update::Contact => reading.beliefs.push(Belief::Contact(true)),
+            Update::Silent { .. } => reading.beliefs.push(Belief::Contact(false)),
+        }
+        reading
+    }
+
+    /// An entry that cannot be read leaves what was known of it.
+    fn put(&mut self, vocabulary: &Vocabulary, entry: &platform::Entry) {
+        match (vocabulary.read)(entry) {
+            Ok(Entry::Server(server)) => self.beliefs.push(Belief::Server(server)),
+            Ok(Entry::Routes(routes)) => self.beliefs.push(Belief::Routes(routes)),
+            Ok(Entry::Other) => {}
+            Err(reason) => self.refused.push(Refusal {
+                key: entry.key.clone(),
+                reason,
+            }),
+        }
+    }
+
+    fn reset(
+        &mut self,
+        vocabulary: &Vocabulary,
+        entries: &[platform::Entry],
+        refused: Vec<Refusal>,
+    ) {
+        self.refused = refused;
+        for entry in entries {
+            self.put(vocabulary, entry);
+        }
+        let mut listed = Vec::new();
+        let mut others = Vec::new();
+        for belief in self.beliefs.drain(..) {
+            match belief {
+                Belief::Server(server) => listed.push(server),
+                other => others.push(other),
+            }
+        }
+        let unreadable = self.refused.iter();
+        let unreadable = unreadable.filter_map(|refusal| (vocabulary.server)(&refusal.key));
+        let servers = Belief::Servers {
+            listed,
+            unreadable: unreadable.collect(),
+        };
+        self.beliefs = others;
+        self.beliefs.push(servers);
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -78,6 +78,15 @@
         reason: String,
     },
 
+    /// The platform no longer has the history that was asked for.
+    #[error("{step} at {peer}: this history is no longer kept")]
+    Compacted {
+        /// What was asked.
+        step: &'static str,
+        /// Who was asked.
+        peer: String,
+    },
+
     /// A call got no answer; a write may have taken effect.
     #[error("{step} at {peer}: no answer: {reason}")]
     Unanswered {
--- /dev/null
+++ b/src/flow.rs
@@ -0,0 +1,41 @@
+//! Decisions for packets whose connection lives at caller and backend server.
+//!
+//! The system sees only the caller's half of a flow and changes nothing but a
+//! routing tag, which both ends repeat. Any instance that knows the servers can
+//! therefore pass on any packet of any flow; what an instance remembers about a
+//! flow improves the choice for new ones and is never needed for open ones.
+//!
+//! Nothing here does input or output: packets, beliefs and the time go in,
+//! verdicts and notes come out.
+
+mod choice;
+mod directory;
+mod evidence;
+mod note;
+mod plane;
+mod route;
+mod segment;
+mod table;
+mod tag;
+
+pub use directory::Directory;
+pub use directory::Presence;
+pub use directory::Server;
+pub use directory::Target;
+pub use evidence::RoundTrip;
+pub use note::Drop;
+pub use note::Note;
+pub use note::Timing;
+pub use plane::Belief;
+pub use plane::Options;
+pub use plane::Plane;
+pub use plane::Resend;
+pub use plane::Verdict;
+pub use route::Backend;
+pub use route::Route;
+pub use route::Routes;
+pub use segment::Flags;
+pub use segment::Pair;
+pub use segment::Segment;
+pub use tag::Serial;
+pub use tag::Tag;
--- /dev/null
+++ b/src/flow/choice.rs
@@ -0,0 +1,101 @@
+//! Choice of a backend server for a new flow.
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::flow::directory::Directory;
+use crate::flow::directory::Record;
+use crate::flow::directory::Slot;
+use crate::id;
+
+/// Weight of an open flow against a request in progress.
+///
+/// A caller that keeps its flow open sends about one request a second, which
+/// occupies a slot for 15 to 55 ms; with ten flows a server is as busy as with
+/// one more request half of the time.
+const FLOW_WEIGHT: f64 = 0.05;
+
+/// Part of its usual rate that a server gives while it is cold; servers known
+/// take 1.6 times as long then.
+const COLD_RATE: f64 = 0.6;
+
+/// How a chosen server stood against the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Choice {
+    pub(crate) slot: Slot,
+    pub(crate) candidates: usize,
+}
+
+/// What the choice depends on beside the directory.
+pub(crate) struct Question<'a> {
+    pub(crate) service: &'a id::Service,
+    pub(crate) zone: &'a id::Zone,
+    /// Servers that have had the opening packet already.
+    pub(crate) tried: &'a [Slot],
+    /// Requests a slot by which a server of another zone must be less loaded.
+    pub(crate) spill: f64,
+    pub(crate) now: Instant,
+}
+
+/// Picks the server with the least load for its size, this zone's first.
+///
+/// Servers that are silent are used only when all are, so that wrong evidence
+/// never leaves a service without servers; servers whose entry has just lapsed
+/// only when none is listed, which is how a store looks that lost all leases
+/// in an outage.
+pub(crate) fn choose(
+    directory: &Directory,
+    question: &Question<'_>,
+    random: &mut SmallRng,
+) -> Option<Choice> {
+    let now = question.now;
+    let is_trusted = |record: &Record| record.is_open() && !record.evidence.is_suspected(now);
+    least_loaded(directory, question, random, is_trusted)
+        .or_else(|| least_loaded(directory, question, random, |r| r.is_open()))
+        .or_else(|| least_loaded(directory, question, random, |r| r.may_return(now)))
+}
+
+fn least_loaded(
+    directory: &Directory,
+    question: &Question<'_>,
+    random: &mut SmallRng,
+    is_candidate: impl Fn(&Record) -> bool,
+) -> Option<Choice> {
+    let mut candidates = 0;
+    let mut best: Option<(f64, Slot)> = None;
+    for slot in directory.of_service(question.service) {
+        let Some(record) = directory.get(*slot) else {
+            continue;
+        };
+        if question.tried.contains(slot) || !is_candidate(record) {
+            continue;
+        }
+        candidates += 1;
+        // A tie is broken at random, or all instances fill the same server.
+        let jitter: f64 = random.random_range(0.0..0.01);
+        let load = load(record, question) + jitter;
+        if best.is_none_or(|(least, _)| load < least) {
+            best = Some((load, *slot));
+        }
+    }
+    best.map(|(_, slot)| Choice { slot, candidates })
+}
+
+/// Expected requests a slot, with the margin of a server in another zone.
+fn load(record: &Record, question: &Question<'_>) -> f64 {
+    let requests = f64::from(record.outstanding) + 1.0;
+    let idle = f64::from(record.flows) * FLOW_WEIGHT;
+    let rate = if question.now < record.cold_until {
+        COLD_RATE
+    } else {
+        1.0
+    };
+    let slots = f64::from(record.server.slots.max(1));
+    let margin = if record.server.zone == *question.zone {
+        0.0
+    } else {
+        question.spill
+    };
+    (requests + idle) / (slots * rate) + margin
+}
--- /dev/null
+++ b/src/flow/directory.rs
@@ -0,0 +1,298 @@
+//! The backend servers known, present and past.
+//!
+//! Servers whose entry is gone stay known for as long as a flow may last, since
+//! their flows' packets still carry their tags: a server whose lease lapsed
+//! while the store was away may well live.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::flow::Serial;
+use crate::flow::Tag;
+use crate::flow::evidence::Evidence;
+use crate::id;
+
+/// How long an entry that lapsed during an outage of the store may take to come
+/// back after it: the users' bound of 2 s, and half a second for its delivery.
+const RETURN_BOUND: Duration = Duration::from_millis(2_500);
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Takes new flows.
+    Ready,
+    /// Finishes its flows and leaves.
+    Draining,
+}
+
+/// A server as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Its key in the store.
+    pub id: id::Server,
+    /// What datagrams to it are named with.
+    pub serial: Serial,
+    /// The service it runs.
+    pub service: id::Service,
+    /// Where it takes datagrams.
+    pub address: SocketAddrV4,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new flows.
+    pub presence: Presence,
+    /// How long it stays slow after its start.
+    pub cold_for: Duration,
+}
+
+/// Where a datagram goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The server's address.
+    pub address: SocketAddrV4,
+    /// The server that is meant.
+    pub serial: Serial,
+    /// Tag that leads the flow's later packets there.
+    pub tag: Tag,
+}
+
+/// Index of a server in the directory; stays valid until it is forgotten.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Slot(u32);
+
+/// What is known about a server.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) server: Server,
+    pub(crate) tag: Tag,
+    /// When its entry was found missing; `None` while it is listed.
+    pub(crate) missing_since: Option<Instant>,
+    pub(crate) draining_since: Option<Instant>,
+    pub(crate) cold_until: Instant,
+    pub(crate) evidence: Evidence,
+    /// Requests of this instance that wait for the server's answer.
+    pub(crate) outstanding: u32,
+    /// Open flows that passed this instance.
+    pub(crate) flows: u32,
+    /// Whether an older server has the same tag, so that this one's flows could
+    /// not be told from that one's.
+    has_doubled_tag: bool,
+}
+
+impl Record {
+    pub(crate) fn target(&self) -> Target {
+        Target {
+            address: self.server.address,
+            serial: self.server.serial,
+            tag: self.tag,
+        }
+    }
+
+    /// Whether new flows may go there.
+    pub(crate) fn is_open(&self) -> bool {
+        let ready = self.server.presence == Presence::Ready;
+        ready && self.missing_since.is_none() && !self.has_doubled_tag
+    }
+
+    /// Whether its entry is missing but may still come back.
+    pub(crate) fn may_return(&self, now: Instant) -> bool {
+        let ready = self.server.presence == Presence::Ready && !self.has_doubled_tag;
+        let since = self.missing_since;
+        ready && since.is_some_and(|since| now < since + RETURN_BOUND)
+    }
+}
+
+/// All servers known.
+#[derive(Debug)]
+pub struct Directory {
+    records: HashMap<Slot, Record>,
+    by_id: HashMap<id::Server, Slot>,
+    by_tag: HashMap<Tag, Slot>,
+    by_service: HashMap<id::Service, Vec<Slot>>,
+    next: u32,
+    /// How long a server that is gone stays known.
+    keep: Duration,
+    /// Since when the store has answered without a break; `None` during one.
+    contact_since: Option<Instant>,
+}
+
+impl Directory {
+    /// An empty directory that knows past servers for this long.
+    pub fn new(keep: Duration) -> Self {
+        Self {
+            records: HashMap::new(),
+            by_id: HashMap::new(),
+            by_tag: HashMap::new(),
+            by_service: HashMap::new(),
+            next: 0,
+            keep,
+            contact_since: None,
+        }
+    }
+
+    /// Takes in a server's entry.
+    pub fn put(&mut self, now: Instant, server: Server) {
+        let Some(slot) = self.by_id.get(&server.id).copied() else {
+            return self.insert(now, server);
+        };
+        if self.records[&slot].server.service != server.service {
+            self.unlist(slot);
+            self.list(slot, server.service.clone());
+        }
+        let Some(record) = self.records.get_mut(&slot) else {
+            return;
+        };
+        record.missing_since = None;
+        record.draining_since = draining_since(&server, record.draining_since, now);
+        record.cold_until = now + server.cold_for;
+        record.server = server;
+    }
+
+    fn insert(&mut self, now: Instant, server: Server) {
+        let slot = Slot(self.next);
+        self.next += 1;
+        let tag = Tag::of(server.serial);
+        // The older server keeps the tag: its flows carry it already. Packets
+        // of the later one would reach the wrong server, so it gets no flows.
+        let has_doubled_tag = self.by_tag.contains_key(&tag);
+        if !has_doubled_tag {
+            self.by_tag.insert(tag, slot);
+        }
+        self.by_id.insert(server.id.clone(), slot);
+        self.list(slot, server.service.clone());
+        let record = Record {
+            tag,
+            missing_since: None,
+            draining_since: draining_since(&server, None, now),
+            cold_until: now + server.cold_for,
+            evidence: Evidence::default(),
+            outstanding: 0,
+            flows: 0,
+            has_doubled_tag,
+            server,
+        };
+        self.records.insert(slot, record);
+    }
+
+    /// Takes in that a server's entry is gone.
+    pub fn remove(&mut self, now: Instant, id: &id::Server) {
+        let slot = self.by_id.get(id);
+        if let Some(record) = slot.and_then(|slot| self.records.get_mut(slot)) {
+            record.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes in the whole list; what is neither on it nor unreadable is gone.
+    pub fn replace(&mut self, now: Instant, servers: Vec<Server>, unreadable: Vec<id::Server>) {
+        let mut listed: HashSet<id::Server> = unreadable.into_iter().collect();
+        listed.extend(servers.iter().map(|server| server.id.clone()));
+        let missing: Vec<_> = self
+            .by_id
+            .keys()
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+        for server in servers {
+            self.put(now, server);
+        }
+    }
+
+    /// Notes that the store answers, or that it does not.
+    pub fn contact(&mut self, now: Instant, is_answering: bool) {
+        if is_answering {
+            self.contact_since.get_or_insert(now);
+        } else {
+            self.contact_since = None;
+        }
+    }
+
+    /// Since when a server is proved to be gone; `None` while it may live.
+    ///
+    /// An entry also lapses while its server cannot reach the store. It counts
+    /// as gone when it stayed away for [`RETURN_BOUND`] of unbroken contact with
+    /// the store and nothing has come from the server since.
+    pub(crate) fn gone_since(&self, slot: Slot, now: Instant) -> Option<Instant> {
+        let record = self.records.get(&slot)?;
+        let missing = record.missing_since?;
+        let proof_from = missing.max(self.contact_since?);
+        let has_answered = record.evidence.last_alive() > Some(missing);
+        let is_proved = now >= proof_from + RETURN_BOUND && !has_answered;
+        is_proved.then_some(missing)
+    }
+
+    /// Forgets servers that have been gone for longer than a flow lasts.
+    pub fn forget(&mut self, now: Instant) {
+        let keep = self.keep;
+        let is_over = |record: &Record| record.missing_since.is_some_and(|s| now >= s + keep);
+        let over: Vec<Slot> = self
+            .records
+            .iter()
+            .filter(|(_, record)| is_over(record))
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in over {
+            self.unlist(slot);
+            let Some(record) = self.records.remove(&slot) else {
+                continue;
+            };
+            self.by_id.remove(&record.server.id);
+            if self.by_tag.get(&record.tag) == Some(&slot) {
+                self.by_tag.remove(&record.tag);
+            }
+        }
+    }
+
+    fn list(&mut self, slot: Slot, service: id::Service) {
+        self.by_service.entry(service).or_default().push(slot);
+    }
+
+    fn unlist(&mut self, slot: Slot) {
+        let Some(record) = self.records.get(&slot) else {
+            return;
+        };
+        if let Some(slots) = self.by_service.get_mut(&record.server.service) {
+            slots.retain(|other| *other != slot);
+        }
+    }
+
+    /// Servers listed at this moment.
+    pub fn listed(&self) -> usize {
+        let is_listed = |record: &&Record| record.missing_since.is_none();
+        self.records.values().filter(is_listed).count()
+    }
+
+    pub(crate) fn by_tag(&self, tag: Tag) -> Option<Slot> {
+        self.by_tag.get(&tag).copied()
+    }
+
+    pub(crate) fn of_service(&self, service: &id::Service) -> &[Slot] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn get(&self, slot: Slot) -> Option<&Record> {
+        self.records.get(&slot)
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut Record> {
+        self.records.get_mut(&slot)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+}
+
+fn draining_since(server: &Server, before: Option<Instant>, now: Instant) -> Option<Instant> {
+    match server.presence {
+        Presence::Ready => None,
+        Presence::Draining => before.or(Some(now)),
+    }
+}
--- /dev/null
+++ b/src/flow/note.rs
@@ -0,0 +1,123 @@
+//! What the decisions have to tell the logs and the counters.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::flow::Pair;
+use crate::id;
+
+/// Why a packet was not passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Drop {
+    /// No configuration or no list of servers has been read yet.
+    NoView,
+    /// The packet belongs to no flow seen here and its tag to no known server.
+    UnknownTag,
+    /// A caller sent what only servers send.
+    ServerSide,
+    /// The route's weights leave no service.
+    NoWeight,
+}
+
+impl Drop {
+    /// Every reason, in the order of the list.
+    pub const ALL: [Self; 4] = [
+        Self::NoView,
+        Self::UnknownTag,
+        Self::ServerSide,
+        Self::NoWeight,
+    ];
+
+    /// The reason as it stands in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::NoView => "no_view",
+            Self::UnknownTag => "unknown_tag",
+            Self::ServerSide => "server_side",
+            Self::NoWeight => "no_weight",
+        }
+    }
+}
+
+impl fmt::Display for Drop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+/// How long something took, as seen from callers' packets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timing {
+    /// From an opening packet to the caller's next one.
+    Handshake(Duration),
+    /// From a request's first packet to the acknowledgement of its answer.
+    Answer(Duration),
+}
+
+/// One decision about a flow, or one change of what is believed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A new flow went to a server.
+    Placed {
+        /// The flow.
+        pair: Pair,
+        /// The chosen server.
+        server: id::Server,
+        /// Whether the server is in another availability zone.
+        is_remote: bool,
+        /// Requests of this instance that the server was working on.
+        outstanding: u32,
+        /// Servers that could have been chosen.
+        candidates: usize,
+        /// Version of the configuration.
+        version: u64,
+    },
+    /// The opening packet went to a further server, since the first is silent.
+    Reopened {
+        /// The flow.
+        pair: Pair,
+        /// The silent server.
+        silent: id::Server,
+        /// The further server; `None` when there is none.
+        server: Option<id::Server>,
+        /// How long the first was given, in milliseconds.
+        waited_ms: u64,
+    },
+    /// A new flow was refused with a reset.
+    Refused {
+        /// The flow.
+        pair: Pair,
+        /// Whether a route exists but no server takes new flows.
+        has_route: bool,
+        /// Version of the configuration.
+        version: u64,
+    },
+    /// An open flow was reset because its server is gone.
+    Released {
+        /// The flow.
+        pair: Pair,
+        /// The server that is gone.
+        server: id::Server,
+        /// How long its entry has been missing, in milliseconds.
+        missing_ms: u64,
+    },
+    /// A packet was dropped.
+    Dropped {
+        /// The flow.
+        pair: Pair,
+        /// Why.
+        reason: Drop,
+    },
+    /// A server is silent and gets no new flows for a while.
+    Suspected {
+        /// The server.
+        server: id::Server,
+        /// Silences in a row.
+        misses: u32,
+    },
+    /// A suspected server has answered.
+    Cleared {
+        /// The server.
+        server: id::Server,
+    },
+}
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,6 +4,7 @@
 //! a slow reader of the log holds up no packet.
 
 use std::io;
+use std::sync::Mutex;
 
 use slog::Drain;
 use slog::FnValue;
@@ -12,9 +13,14 @@
 use slog::o;
 use slog_async::AsyncGuard;
 
+use crate::error::Error;
+use crate::error::Result;
 use crate::settings::Format;
 use crate::settings::Level;
 use crate::settings::Log;
+use crate::sink;
+
+pub use crate::sink::Guard;
 
 /// Records that may wait for being written; more are dropped and counted.
 const QUEUE: usize = 4_096;
@@ -42,6 +48,25 @@
     }
 }
 
+/// Builds a logger that writes JSON lines to the standard output, many at once.
+///
+/// # Errors
+///
+/// Fails when its thread cannot be started.
+pub fn lines(settings: &Log) -> Result<(Logger, Guard)> {
+    let (sink, guard) = sink::sink(io::stdout()).map_err(|source| Error::Io {
+        step: "start log thread",
+        peer: "system".to_owned(),
+        source,
+    })?;
+    let json = slog_json::Json::new(sink)
+        .add_default_keys()
+        .add_key_value(o!("module" => FnValue(module)))
+        .build();
+    let drain = filtered(Mutex::new(json).ignore_res(), settings.clone());
+    Ok((Logger::root(drain.fuse(), o!()), guard))
+}
+
 /// The module is what levels are set by, so each record names its own.
 fn module(record: &Record<'_>) -> &'static str {
     record.module()
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -188,7 +188,7 @@
         metrics.register();
         metrics
             .registry
-            .register_collector(Box::new(Platform(platform)));
+            .register_collector(Box::new(Platform(platform.transport())));
         metrics.start_at_zero();
         metrics
     }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,5 +1,6 @@
 //! One exchange with the platform: addresses, timeouts, allowance and counts.
 
+use std::borrow::Cow;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
@@ -60,8 +61,12 @@
 pub(crate) struct Call {
     pub(crate) step: &'static str,
     pub(crate) kind: Kind,
-    pub(crate) path: &'static str,
-    pub(crate) body: Body,
+    /// Path, with the query if there is one.
+    pub(crate) path: Cow<'static, str>,
+    /// What is posted; without it the call is a GET.
+    pub(crate) body: Option<Body>,
+    /// Time that the store may hold the answer back, beside the time of a call.
+    pub(crate) wait: Duration,
 }
 
 impl Call {
@@ -210,7 +215,7 @@
             let body = read_body(call, base, response).await?;
             decode(&body).map_err(|reason| call.unanswered(base, reason))
         };
-        time::timeout(self.options.call_timeout, whole)
+        time::timeout(self.options.call_timeout + call.wait, whole)
             .await
             .unwrap_or_else(|_| Err(call.unanswered(base, "timed out")))
     }
@@ -218,12 +223,12 @@
     /// Sends a call and waits for the head of its answer.
     async fn start(&self, call: &Call, base: &Base) -> Result<Response> {
         self.admit(call, base)?;
-        let sending = self
-            .http
-            .post(format!("{base}{}", call.path))
-            .json(&call.body)
-            .send();
-        let response = time::timeout(self.options.call_timeout, sending)
+        let url = format!("{base}{}", call.path);
+        let sending = match &call.body {
+            Some(body) => self.http.post(url).json(body).send(),
+            None => self.http.get(url).send(),
+        };
+        let response = time::timeout(self.options.call_timeout + call.wait, sending)
             .await
             .map_err(|_| call.unanswered(base, "timed out"))?
             .map_err(|e| sending_failed(call, base, &e))?;
@@ -304,6 +309,12 @@
     if !status.is_client_error() || status == StatusCode::REQUEST_TIMEOUT {
         return Err(call.unanswered(base, status));
     }
+    if status == StatusCode::GONE {
+        return Err(Error::Compacted {
+            step: call.step,
+            peer: base.to_string(),
+        });
+    }
     let body = read_body(call, base, response).await.unwrap_or_default();
     Err(Error::Refused {
         step: call.step,
