--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -269,6 +269,12 @@
         self.records.values().filter(is_listed).count()
     }
 
+    /// Flows and requests counted at all servers.
+    pub fn load(&self) -> u64 {
+        let of = |record: &Record| u64::from(record.flows) + u64::from(record.outstanding);
+        self.records.values().map(of).sum()
+    }
+
     pub(crate) fn by_tag(&self, tag: Tag) -> Option<Slot> {
         self.by_tag.get(&tag).copied()
     }
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -128,6 +128,8 @@
     /// When handshakes are due, earliest first; ones that are over stay until then.
     due: BinaryHeap<Reverse<(Instant, Pair)>>,
     round_trip: RoundTrip,
+    /// When a packet of an open flow last came.
+    heard: Option<Instant>,
     swept: Option<Instant>,
     random: SmallRng,
     notes: Vec<Note>,
@@ -146,6 +148,7 @@
             table: Table::new(options.max_flows),
             due: BinaryHeap::new(),
             round_trip: RoundTrip::default(),
+            heard: None,
             swept: None,
             random: SmallRng::seed_from_u64(options.seed),
             notes: Vec::new(),
@@ -358,7 +361,7 @@
             if !self.is_still_opening(&pair, due) {
                 continue;
             }
-            if now > due + STALL {
+            if now > due + STALL || !self.has_heard_since_opening(&pair) {
                 self.postpone(now, pair);
                 continue;
             }
@@ -376,6 +379,22 @@
         })
     }
 
+    /// Whether any open flow's packet has come since this one's opening packet.
+    ///
+    /// When routers turn to other instances, no caller's next packet comes here.
+    /// Without this, an instance that starts suspects all servers in its first
+    /// second and opens flows at several of them.
+    fn has_heard_since_opening(&self, pair: &Pair) -> bool {
+        let Some(Flow {
+            phase: Phase::Opening(opening),
+            ..
+        }) = self.table.flows.get(pair)
+        else {
+            return false;
+        };
+        self.heard.is_some_and(|heard| heard >= opening.sent)
+    }
+
     fn postpone(&mut self, now: Instant, pair: Pair) {
         let wait = self.round_trip.wait();
         let Some(flow) = self.table.flows.get_mut(&pair) else {
@@ -493,6 +512,7 @@
     }
 
     fn receive_later(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        self.heard = Some(now);
         let tagged = self.directory.by_tag(segment.tag);
         if !self.table.flows.contains_key(&segment.pair) {
             let Some(slot) = tagged else {
--- /dev/null
+++ b/tests/flow/config.rs
@@ -0,0 +1,98 @@
+//! Configurations: routes come, go, and never go back.
+
+use std::time::Duration;
+
+use godwitreel::flow::Backend;
+use godwitreel::flow::Belief;
+use godwitreel::flow::Drop;
+use godwitreel::flow::Plane;
+use godwitreel::flow::Route;
+use godwitreel::flow::Verdict;
+use tokio::time::Instant;
+
+use crate::support::*;
+
+#[test]
+fn an_older_configuration_is_refused() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    assert!(plane.learn(now, Belief::Routes(routes(5, &[]))));
+    assert!(!plane.learn(now, Belief::Routes(routes(4, &[(BOOKINGS, "dispatch")]))));
+    let verdict = plane.receive(now, &Caller::new(1, BOOKINGS).opening(0), b"");
+    assert_eq!(verdict, Verdict::Reset);
+    assert_eq!(plane.version(), 5);
+}
+
+// A route is withdrawn while a flow is open: the flow goes on, new ones are told
+// at once.
+#[test]
+fn an_open_flow_outlives_its_route() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now, Belief::Routes(routes(2, &[])));
+    let verdict = plane.receive(now + ms(10), &caller.data(100, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+#[test]
+fn nothing_is_refused_before_anything_is_known() {
+    let now = Instant::now();
+    let mut plane = Plane::new(options());
+    let verdict = plane.receive(now, &Caller::new(1, BOOKINGS).opening(0), b"");
+    assert_eq!(verdict, Verdict::Drop(Drop::NoView));
+    assert!(!plane.is_ready());
+}
+
+#[test]
+fn a_service_without_servers_refuses_at_once() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let verdict = plane.receive(now, &Caller::new(1, SHEETS).opening(0), b"");
+    assert_eq!(verdict, Verdict::Reset);
+}
+
+// A route shares its flows between two services. Copies of an opening packet may
+// reach another instance; both must pick the same service.
+#[test]
+fn shares_are_kept_and_agree_between_instances() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "ledger", LOCAL)];
+    let mut one = plane(now, servers.clone());
+    let mut two = plane(now, servers);
+    let mut shared = routes(2, &[]);
+    let backend = |service: &str, weight| Backend {
+        service: service.parse().unwrap(),
+        weight,
+    };
+    let route = Route {
+        name: "shared".to_owned(),
+        backends: vec![backend("dispatch", 90), backend("ledger", 10)],
+    };
+    shared.by_address.insert(BOOKINGS, route);
+    one.learn(now, Belief::Routes(shared.clone()));
+    two.learn(now, Belief::Routes(shared));
+    let mut ledger = 0;
+    for port in 0..1_000 {
+        let opening = Caller::new(port, BOOKINGS).opening(0);
+        let at_one = forwarded(one.receive(now, &opening, b""));
+        let at_two = forwarded(two.receive(now, &opening, b""));
+        assert_eq!(at_one.serial, at_two.serial);
+        ledger += u32::from(at_one.serial.0 == 2);
+    }
+    assert!((50..200).contains(&ledger), "{ledger} of 1000 for a tenth");
+}
+
+#[test]
+fn silence_between_requests_forgets_the_flow_but_not_its_server() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.expire(now + Duration::from_secs(30));
+    assert_eq!(plane.flows(), 0);
+    let later = now + Duration::from_secs(31);
+    let verdict = plane.receive(later, &caller.data(100, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
--- /dev/null
+++ b/tests/flow/gone.rs
@@ -0,0 +1,127 @@
+//! Servers that leave, crash, or only seem to be gone.
+
+use godwitreel::flow::Belief;
+use godwitreel::flow::Verdict;
+use tokio::time::Instant;
+
+use crate::support::*;
+
+// A server has crashed and its entry has lapsed. The caller's requests on its
+// open flow go unanswered until the deadline; a reset lets it try elsewhere now.
+#[test]
+fn a_flow_of_a_gone_server_is_reset() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    let id = format!("s-{}", target.serial);
+    plane.learn(now + ms(100), Belief::Gone(id.parse().unwrap()));
+
+    let early = plane.receive(now + ms(2_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(early), target, "it may still come back");
+    let late = plane.receive(now + ms(2_700), &caller.data(0, target.tag), b"");
+    assert_eq!(late, Verdict::Reset);
+}
+
+// The store was away and has dropped the entries of servers that live. They are
+// back within 2 s of its return; a reset before would break living flows.
+#[test]
+fn an_entry_that_lapsed_during_an_outage_may_come_back() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now + ms(100), Belief::Contact(false));
+    let returned = now + ms(8_000);
+    let lapsed = Belief::Servers {
+        listed: Vec::new(),
+        unreadable: Vec::new(),
+    };
+    plane.learn(returned, lapsed);
+    plane.learn(returned, Belief::Contact(true));
+
+    let fresh = Caller::new(2, BOOKINGS);
+    let verdict = plane.receive(returned + ms(500), &fresh.opening(0), b"");
+    assert_eq!(forwarded(verdict), target, "better than no server");
+    let verdict = plane.receive(returned + ms(1_900), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+    plane.learn(
+        returned + ms(1_950),
+        Belief::Server(server(1, "dispatch", LOCAL)),
+    );
+    let verdict = plane.receive(returned + ms(9_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+// An entry stays away after the outage: new flows must stop going there.
+#[test]
+fn an_entry_that_stays_away_after_an_outage_is_gone() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    plane.learn(now, Belief::Gone("s-1".parse().unwrap()));
+    let verdict = plane.receive(now + ms(2_600), &Caller::new(1, BOOKINGS).opening(0), b"");
+    assert_eq!(verdict, Verdict::Reset);
+}
+
+// The store answers again only now, so the time before proves nothing.
+#[test]
+fn silence_of_the_store_proves_no_server_gone() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now, Belief::Gone("s-1".parse().unwrap()));
+    plane.learn(now + ms(10), Belief::Contact(false));
+    let verdict = plane.receive(now + ms(9_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+    plane.learn(now + ms(9_000), Belief::Contact(true));
+    let verdict = plane.receive(now + ms(10_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+// A server cannot reach the store, so that its entry lapses, but it answers its
+// callers. Resetting its flows would break what works.
+#[test]
+fn a_server_that_answers_is_not_gone() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now + ms(100), Belief::Gone("s-1".parse().unwrap()));
+    plane.receive(now + ms(200), &caller.acknowledge(50, target.tag), b"");
+    let verdict = plane.receive(now + ms(5_000), &caller.data(100, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+// An entry that cannot be read must not make a living server gone.
+#[test]
+fn an_unreadable_entry_leaves_its_server() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let unreadable = Belief::Servers {
+        listed: Vec::new(),
+        unreadable: vec!["s-1".parse().unwrap()],
+    };
+    plane.learn(now + ms(100), unreadable);
+    let verdict = plane.receive(now + ms(9_000), &Caller::new(1, BOOKINGS).opening(0), b"");
+    forwarded(verdict);
+}
+
+// A server drains: it keeps its flows, new ones go elsewhere.
+#[test]
+fn a_draining_server_keeps_its_flows_and_gets_no_new_ones() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now, Belief::Server(draining(1, "dispatch", LOCAL)));
+    plane.learn(now, Belief::Server(server(2, "dispatch", REMOTE)));
+    for port in 2..10 {
+        let fresh = Caller::new(port, BOOKINGS);
+        let verdict = plane.receive(now + ms(1), &fresh.opening(0), b"");
+        assert_ne!(forwarded(verdict), target);
+    }
+    let verdict = plane.receive(now + ms(2), &caller.data(100, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
--- /dev/null
+++ b/tests/flow/main.rs
@@ -0,0 +1,9 @@
+//! Decisions about packets: events and times in, verdicts out.
+
+mod choice;
+mod config;
+mod gone;
+mod opening;
+mod sequence;
+mod support;
+mod tag;
--- /dev/null
+++ b/tests/flow/opening.rs
@@ -0,0 +1,138 @@
+//! Handshakes: silent servers, copies, and a process that stood still.
+
+use godwitreel::flow::Note;
+use tokio::time::Instant;
+
+use crate::support::*;
+
+// A caller opens a flow and hears nothing: the chosen server has crashed, and
+// its entry lapses seconds later. The caller's copy would come after 200 ms,
+// too late for its goal. The instance sees other handshakes succeed, and sends
+// the packet to another server after a few round trips.
+#[test]
+fn a_silent_server_is_passed_over_before_the_caller_asks_again() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let first = Caller::new(1, BOOKINGS);
+    let silent = forwarded(plane.receive(now, &first.opening(0), b"first"));
+    let other = Caller::new(2, BOOKINGS);
+    let alive = forwarded(plane.receive(now + ms(1), &other.opening(0), b"other"));
+    assert_ne!(alive, silent, "least loaded");
+    plane.receive(now + ms(7), &other.data(0, alive.tag), b"");
+
+    let due = plane.next_due().unwrap();
+    assert!(due <= now + ms(100));
+    let resends = plane.expire(due);
+    assert_eq!(resends.len(), 1);
+    assert_eq!(resends[0].target, alive);
+    assert_eq!(resends[0].packet, b"first");
+
+    for port in 10..20 {
+        let caller = Caller::new(port, BOOKINGS);
+        let target = forwarded(plane.receive(due + ms(1), &caller.opening(0), b""));
+        assert_eq!(target, alive, "a suspected server gets no new flows");
+    }
+}
+
+// All callers' next packets stop coming, since the routers have turned to other
+// instances. Taking every server for dead on that would spread opening packets
+// over servers that are well.
+#[test]
+fn silence_of_everything_blames_no_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    for port in 1..5 {
+        plane.receive(now, &Caller::new(port, BOOKINGS).opening(0), b"");
+    }
+    for _ in 0..10 {
+        let Some(due) = plane.next_due() else { break };
+        assert_eq!(plane.expire(due), Vec::new());
+    }
+    let notes = plane.take_notes().0;
+    let is_blame = |note: &Note| matches!(note, Note::Suspected { .. });
+    assert!(!notes.iter().any(is_blame), "{notes:?}");
+}
+
+// The process is frozen for a second right after an opening packet. When it
+// thaws, the deadline is long past, but the answer may wait in the socket.
+#[test]
+fn a_process_that_stood_still_blames_no_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &caller.opening(0), b""));
+    let thawed = now + ms(1_000);
+    open(&mut plane, thawed, &Caller::new(2, BOOKINGS));
+    assert_eq!(plane.expire(thawed), Vec::new());
+    let verdict = plane.receive(thawed + ms(1), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+// Opening packet and copy were both in the socket's buffer. Two servers would
+// answer, and the caller's tag could name the one it did not choose.
+#[test]
+fn a_copy_that_comes_at_once_goes_to_the_same_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &caller.opening(0), b""));
+    let copy = plane.receive(now + ms(20), &caller.opening(1), b"");
+    assert_eq!(forwarded(copy), target);
+}
+
+#[test]
+fn a_copy_after_the_callers_pause_goes_to_another_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &caller.opening(0), b""));
+    let copy = plane.receive(now + ms(200), &caller.opening(1), b"");
+    assert_ne!(forwarded(copy), target);
+}
+
+// A server answers late, after the packet went to a second one, too. The caller
+// takes the first answer; the second one only replaces the tag that it repeats.
+// Following that tag would lead to a server without the flow, which resets it.
+#[test]
+fn a_late_answer_of_a_second_server_moves_no_flow() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let first = forwarded(plane.receive(now, &caller.opening(0), b""));
+    let second = forwarded(plane.receive(now + ms(200), &caller.opening(1), b""));
+    let opened = plane.receive(now + ms(205), &caller.data(0, first.tag), b"");
+    assert_eq!(forwarded(opened), first);
+    let later = plane.receive(now + ms(210), &caller.data(100, second.tag), b"");
+    assert_eq!(forwarded(later), first);
+}
+
+#[test]
+fn a_copy_after_the_flow_opened_stays_with_its_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    let copy = plane.receive(now + ms(300), &caller.opening(1), b"");
+    assert_eq!(forwarded(copy), target);
+}
+
+// Every server is silent, which a cut on this side also looks like. Refusing
+// new flows on that evidence would leave callers without a service that lives.
+#[test]
+fn evidence_never_empties_a_service() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &caller.opening(0), b""));
+    plane.receive(now + ms(200), &caller.opening(1), b"");
+    let next = Caller::new(2, BOOKINGS);
+    let verdict = plane.receive(now + ms(201), &next.opening(0), b"");
+    assert_eq!(forwarded(verdict), target);
+}
--- /dev/null
+++ b/tests/flow/sequence.rs
@@ -0,0 +1,159 @@
+//! Random histories of packets, beliefs and pauses.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use godwitreel::flow::Belief;
+use godwitreel::flow::Plane;
+use godwitreel::flow::Tag;
+use godwitreel::flow::Verdict;
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use crate::support::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open { port: u16, copy: u32 },
+    Data { port: u16, offset: u32 },
+    Answer { port: u16, bytes: u32 },
+    Finish { port: u16 },
+    List(u8),
+    Drain(u8),
+    Gone(u8),
+    Contact(bool),
+    Pause(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let port = 0..8_u16;
+    let number = 1..5_u8;
+    prop_oneof![
+        4 => (port.clone(), 0..3_u32).prop_map(|(port, copy)| Step::Open { port, copy }),
+        4 => (port.clone(), 0..3_u32).prop_map(|(port, n)| Step::Data { port, offset: n * 100 }),
+        2 => (port.clone(), 1..900_u32).prop_map(|(port, bytes)| Step::Answer { port, bytes }),
+        1 => port.prop_map(|port| Step::Finish { port }),
+        2 => number.clone().prop_map(Step::List),
+        1 => number.clone().prop_map(Step::Drain),
+        1 => number.prop_map(Step::Gone),
+        1 => any::<bool>().prop_map(Step::Contact),
+        3 => prop_oneof![1..50_u64, 100..400_u64, 1_000..4_000_u64].prop_map(Step::Pause),
+    ]
+}
+
+struct World {
+    plane: Plane,
+    now: Instant,
+    listed: HashSet<u8>,
+    draining: HashSet<u8>,
+    /// Tag that each caller repeats.
+    tags: HashMap<u16, Tag>,
+}
+
+impl World {
+    fn segment_verdict(&mut self, step: &Step) -> Option<(u16, Verdict)> {
+        let (port, segment) = match step {
+            Step::Open { port, copy } => (*port, Caller::new(*port, BOOKINGS).opening(*copy)),
+            Step::Data { port, offset } => (
+                *port,
+                Caller::new(*port, BOOKINGS).data(*offset, self.tag(*port)),
+            ),
+            Step::Answer { port, bytes } => (
+                *port,
+                Caller::new(*port, BOOKINGS).acknowledge(*bytes, self.tag(*port)),
+            ),
+            Step::Finish { port } => {
+                let mut segment = Caller::new(*port, BOOKINGS).acknowledge(0, self.tag(*port));
+                segment.flags.fin = true;
+                (*port, segment)
+            }
+            _ => return None,
+        };
+        Some((port, self.plane.receive(self.now, &segment, b"packet")))
+    }
+
+    fn tag(&self, port: u16) -> Tag {
+        self.tags.get(&port).copied().unwrap_or(Tag::NONE)
+    }
+
+    fn learn(&mut self, step: &Step) {
+        let belief = match step {
+            Step::List(n) => {
+                self.listed.insert(*n);
+                self.draining.remove(n);
+                Belief::Server(server(*n, "dispatch", LOCAL))
+            }
+            Step::Drain(n) => {
+                self.listed.insert(*n);
+                self.draining.insert(*n);
+                Belief::Server(draining(*n, "dispatch", LOCAL))
+            }
+            Step::Gone(n) => {
+                self.listed.remove(n);
+                Belief::Gone(format!("s-{n}").parse().unwrap())
+            }
+            Step::Contact(is_answering) => Belief::Contact(*is_answering),
+            Step::Pause(pause) => {
+                self.now += ms(*pause);
+                return;
+            }
+            _ => return,
+        };
+        self.plane.learn(self.now, belief);
+    }
+
+    fn check(&mut self, step: &Step, port: u16, verdict: Verdict) {
+        let opens = matches!(step, Step::Open { .. });
+        match verdict {
+            Verdict::Forward(target) => {
+                let number = target.serial.0 as u8;
+                assert_eq!(target.tag, Tag::of(target.serial));
+                if opens && self.plane.flows() == 1 && !self.listed.is_empty() {
+                    assert!(number >= 1, "a known server");
+                }
+                self.tags.insert(port, target.tag);
+            }
+            Verdict::Reset if !opens => {
+                let tag = self.tag(port);
+                let of_listed = |n: &u8| Tag::of(server(*n, "dispatch", LOCAL).serial) == tag;
+                assert!(
+                    !self.listed.iter().any(of_listed),
+                    "reset a flow of a listed server"
+                );
+            }
+            Verdict::Reset => {
+                let open = self.listed.difference(&self.draining).count();
+                assert_eq!(open, 0, "refused with servers free");
+            }
+            Verdict::Drop(_) => {}
+        }
+    }
+}
+
+proptest! {
+    // No flow of a listed server is reset, no new flow refused while a server
+    // takes some, and no load is left over when all flows are forgotten.
+    #[test]
+    fn histories_keep_the_promises(steps in prop::collection::vec(step(), 1..200)) {
+        let now = Instant::now();
+        let mut world = World {
+            plane: plane(now, Vec::new()),
+            now,
+            listed: HashSet::new(),
+            draining: HashSet::new(),
+            tags: HashMap::new(),
+        };
+        for step in &steps {
+            if let Some((port, verdict)) = world.segment_verdict(step) {
+                world.check(step, port, verdict);
+            }
+            world.learn(step);
+            world.plane.expire(world.now);
+        }
+        for second in 1..100 {
+            world.plane.expire(world.now + ms(1_000 * second));
+        }
+        prop_assert_eq!(world.plane.flows(), 0);
+        prop_assert_eq!(world.plane.directory().load(), 0);
+    }
+}
--- /dev/null
+++ b/tests/flow/support.rs
@@ -0,0 +1,172 @@
+//! A plane with servers and routes, and the packets of one caller.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use godwitreel::flow::Backend;
+use godwitreel::flow::Belief;
+use godwitreel::flow::Flags;
+use godwitreel::flow::Options;
+use godwitreel::flow::Pair;
+use godwitreel::flow::Plane;
+use godwitreel::flow::Presence;
+use godwitreel::flow::Route;
+use godwitreel::flow::Routes;
+use godwitreel::flow::Segment;
+use godwitreel::flow::Serial;
+use godwitreel::flow::Server;
+use godwitreel::flow::Tag;
+use godwitreel::flow::Target;
+use godwitreel::flow::Verdict;
+use tokio::time::Instant;
+
+pub(crate) const LOCAL: &str = "bole";
+pub(crate) const REMOTE: &str = "kality";
+pub(crate) const BOOKINGS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8080);
+pub(crate) const SHEETS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+
+pub(crate) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(crate) fn server(number: u8, service: &str, zone: &str) -> Server {
+    Server {
+        id: format!("s-{number}").parse().unwrap(),
+        serial: Serial(u64::from(number)),
+        service: service.parse().unwrap(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8080),
+        zone: zone.parse().unwrap(),
+        slots: 2,
+        presence: Presence::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+pub(crate) fn draining(number: u8, service: &str, zone: &str) -> Server {
+    Server {
+        presence: Presence::Draining,
+        ..server(number, service, zone)
+    }
+}
+
+pub(crate) fn routes(version: u64, rows: &[(SocketAddrV4, &str)]) -> Routes {
+    let route = |service: &str| Route {
+        name: service.to_owned(),
+        backends: vec![Backend {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+    };
+    Routes {
+        version,
+        by_address: rows.iter().map(|(at, to)| (*at, route(to))).collect(),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+pub(crate) fn options() -> Options {
+    Options {
+        zone: LOCAL.parse().unwrap(),
+        spill: 2.0,
+        flow_ttl: Duration::from_secs(60),
+        idle_timeout: Duration::from_secs(15),
+        max_flows: 1_000,
+        seed: 7,
+    }
+}
+
+/// A plane in contact with its store, with the routes of both services.
+pub(crate) fn plane(now: Instant, servers: Vec<Server>) -> Plane {
+    let mut plane = Plane::new(options());
+    let rows = [(BOOKINGS, "dispatch"), (SHEETS, "ledger")];
+    plane.learn(now, Belief::Contact(true));
+    plane.learn(now, Belief::Routes(routes(1, &rows)));
+    plane.learn(
+        now,
+        Belief::Servers {
+            listed: servers,
+            unreadable: Vec::new(),
+        },
+    );
+    plane
+}
+
+/// One caller's flow.
+#[derive(Clone, Copy)]
+pub(crate) struct Caller {
+    pub(crate) pair: Pair,
+    pub(crate) seq: u32,
+    pub(crate) ack: u32,
+}
+
+impl Caller {
+    pub(crate) fn new(port: u16, service: SocketAddrV4) -> Self {
+        Self {
+            pair: Pair {
+                caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
+                service,
+            },
+            seq: 1_000 + u32::from(port),
+            ack: 9_000,
+        }
+    }
+
+    fn segment(&self, flags: Flags, len: u16, tag: Tag) -> Segment {
+        Segment {
+            pair: self.pair,
+            flags,
+            seq: self.seq + 1,
+            ack: self.ack,
+            len,
+            tag,
+        }
+    }
+
+    /// The opening packet, or its copy.
+    pub(crate) fn opening(&self, copy: u32) -> Segment {
+        let flags = Flags {
+            syn: true,
+            ..Flags::default()
+        };
+        Segment {
+            seq: self.seq,
+            ack: copy,
+            ..self.segment(flags, 0, Tag::NONE)
+        }
+    }
+
+    /// A packet with data of an open flow; `offset` bytes came before it.
+    pub(crate) fn data(&self, offset: u32, tag: Tag) -> Segment {
+        let flags = Flags {
+            ack: true,
+            ..Flags::default()
+        };
+        let mut segment = self.segment(flags, 100, tag);
+        segment.seq += offset;
+        segment
+    }
+
+    /// Acknowledges so many bytes of the answer.
+    pub(crate) fn acknowledge(&self, bytes: u32, tag: Tag) -> Segment {
+        let mut segment = self.data(100, tag);
+        segment.len = 0;
+        segment.ack += bytes;
+        segment
+    }
+}
+
+pub(crate) fn forwarded(verdict: Verdict) -> Target {
+    match verdict {
+        Verdict::Forward(target) => target,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+/// Opens a flow in 5 ms and returns its server.
+pub(crate) fn open(plane: &mut Plane, now: Instant, caller: &Caller) -> Target {
+    let target = forwarded(plane.receive(now, &caller.opening(0), b"packet"));
+    let data = caller.data(0, target.tag);
+    assert_eq!(forwarded(plane.receive(now + ms(5), &data, b"")), target);
+    target
+}
