--- a/src/client.rs
+++ b/src/client.rs
@@ -19,6 +19,7 @@
 use crate::platform::Swap;
 use crate::transport::Call;
 use crate::transport::Kind;
+use crate::transport::Payload;
 use crate::transport::Transport;
 use crate::transport::add;
 use crate::watch;
@@ -106,7 +107,7 @@
             step: "swap",
             kind: Kind::Write,
             path: "/v3/kv/txn".into(),
-            body: Some(body),
+            body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::swap).await
@@ -122,7 +123,7 @@
             step: "erase",
             kind: Kind::Write,
             path: "/v3/kv/txn".into(),
-            body: Some(call::erase(key, expected)),
+            body: Some(Payload::Gateway(Box::new(call::erase(key, expected)))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::swap).await
@@ -138,7 +139,7 @@
             step: "delete",
             kind: Kind::Write,
             path: "/v3/kv/deleterange".into(),
-            body: Some(call::key(key)),
+            body: Some(Payload::Gateway(Box::new(call::key(key)))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::deletion).await
@@ -155,7 +156,7 @@
             step: "lease grant",
             kind: Kind::Lease,
             path: "/v3/lease/grant".into(),
-            body: Some(call::grant(ttl.as_secs())),
+            body: Some(Payload::Gateway(Box::new(call::grant(ttl.as_secs())))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::grant).await
@@ -171,7 +172,7 @@
             step: "lease keepalive",
             kind: Kind::Lease,
             path: "/v3/lease/keepalive".into(),
-            body: Some(call::lease(lease)),
+            body: Some(Payload::Gateway(Box::new(call::lease(lease)))),
             wait: Duration::ZERO,
         };
         let seconds = self.transport.call(&call, gateway::keepalive).await?;
@@ -188,7 +189,7 @@
             step: "lease revoke",
             kind: Kind::Lease,
             path: "/v3/lease/revoke".into(),
-            body: Some(call::lease(lease)),
+            body: Some(Payload::Gateway(Box::new(call::lease(lease)))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, gateway::revocation).await
@@ -209,7 +210,10 @@
             step: "watch",
             kind: Kind::Watch,
             path: "/v3/watch".into(),
-            body: Some(call::watch(prefix, from_revision)),
+            body: Some(Payload::Gateway(Box::new(call::watch(
+                prefix,
+                from_revision,
+            )))),
             wait: Duration::ZERO,
         };
         watch::stream(Arc::clone(&self.transport), call)
@@ -225,7 +229,7 @@
             step,
             kind: Kind::Read,
             path: "/v3/kv/range".into(),
-            body: Some(body),
+            body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
         };
         self.transport.call(&call, decode).await
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,6 +14,7 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -41,12 +42,15 @@
 use crate::flow::Presence;
 use crate::flow::Timing;
 use crate::flow::Verdict;
-use crate::mirror;
-use crate::mirror::Pace;
-use crate::mirror::Update;
 use crate::pacing;
 use crate::platform;
 use crate::poll::Reader;
+use crate::replica;
+use crate::replica::Member;
+use crate::replica::Pace;
+use crate::replica::Registration;
+use crate::replica::Sources;
+use crate::replica::Update;
 
 /// Packets taken before anything else gets its turn.
 const BATCH: usize = 256;
@@ -54,7 +58,7 @@
 /// Longest time between two looks at what is due.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// Updates of the mirror that may wait; it waits for room beyond.
+/// Updates of the copy that may wait; its source waits for room beyond.
 const UPDATES: usize = 256;
 
 /// Questions for the status that may wait.
@@ -67,6 +71,11 @@
 /// 4 ms, in bad hours 250.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest wait of a poll on which others depend. What they may be behind adds
+/// up: this wait, the pause in which changes gather, and the next wait have to
+/// stay below the 2 s after which they ask the store themselves.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(600);
+
 /// Time for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -109,7 +118,7 @@
     });
     let socket = Socket::bind(settings.packets, adapter.codec).await?;
     http::serve(settings.ready, settings.metrics, Arc::clone(&shared)).await?;
-    let mut updates = follow(&settings, &adapter, reader);
+    let mut updates = follow(&settings, &adapter, reader, &log).await?;
     info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
         "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
     let now = Instant::now();
@@ -177,15 +186,47 @@
     Reader::new(settings.store.addresses.clone(), options, adapter.dialect)
 }
 
-fn follow(settings: &Settings, adapter: &Adapter, reader: Reader) -> mpsc::Receiver<Update> {
+/// Starts what keeps the copy of the store, and what passes it on.
+async fn follow(
+    settings: &Settings,
+    adapter: &Adapter,
+    reader: Reader,
+    log: &Logger,
+) -> Result<mpsc::Receiver<Update>> {
+    let listener = TcpListener::bind(settings.peers).await;
+    let listener = listener.map_err(|source| Error::Io {
+        step: "bind peer address",
+        peer: settings.peers.to_string(),
+        source,
+    })?;
+    let shared = Arc::new(replica::Shared::default());
     let (sender, updates) = mpsc::channel(UPDATES);
-    let pace = Pace {
-        wait: settings.notice().saturating_sub(CALL_TIMEOUT),
-        gather: settings.gather(),
+    let sources = Sources {
+        reader: reader.clone(),
+        prefix: adapter.vocabulary.prefix.to_owned(),
+        pace: Pace {
+            wait: settings.notice().saturating_sub(CALL_TIMEOUT),
+            wait_for_others: WAIT_FOR_OTHERS,
+            gather: settings.gather(),
+        },
+        me: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        seeds: settings.seeds.clone(),
+        log: log.clone(),
     };
-    let prefix = adapter.vocabulary.prefix.to_owned();
-    tokio::spawn(mirror::mirror(reader, prefix, pace, sender));
-    updates
+    let registration = Registration {
+        reader,
+        member: Member {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers,
+        },
+        log: log.clone(),
+    };
+    tokio::spawn(replica::publish(listener, Arc::clone(&shared), log.clone()));
+    tokio::spawn(replica::follow(sources, shared, sender));
+    tokio::spawn(replica::register(registration));
+    Ok(updates)
 }
 
 impl Instance {
@@ -324,6 +365,10 @@
             } => info!(self.log, "store read"; "entries" => entries.len(),
                 "revision" => revision, "view_age_ms" => self.contact_age_ms(now)),
             Update::Contact => self.contact = Some(now),
+            Update::Source { upstream } => {
+                let upstream = upstream.as_ref().map(ToString::to_string);
+                info!(self.log, "source of changes"; "upstream" => upstream);
+            }
             Update::Change(_) | Update::Refused(_) => {}
         }
     }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -48,6 +48,12 @@
     pub ready: SocketAddrV4,
     /// HTTP address for metrics and status, bound here.
     pub metrics: SocketAddrV4,
+    /// TCP address for other instances' subscriptions, bound here.
+    pub peers: SocketAddrV4,
+    /// Such addresses of some instances, to ask when the store does not answer
+    /// at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
     /// The store.
     pub store: Store,
     /// Longest life of a flow, in seconds.
@@ -81,7 +87,7 @@
 }
 
 fn default_gather_ms() -> u64 {
-    1_000
+    400
 }
 
 fn default_flow_ttl_s() -> u64 {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -3,12 +3,12 @@
 use crate::entry::Entry;
 use crate::entry::Vocabulary;
 use crate::flow::Belief;
-use crate::mirror::Update;
 use crate::platform;
 use crate::platform::Change;
 use crate::poll::Refusal;
+use crate::replica::Update;
 
-/// What an update of the mirror says, and which entries could not be read.
+/// What an update of the copy says, and which entries could not be read.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
     pub(crate) beliefs: Vec<Belief>,
@@ -30,6 +30,7 @@
             Update::Refused(refusal) => reading.refused.push(refusal),
             Update::Contact => reading.beliefs.push(Belief::Contact(true)),
             Update::Silent { .. } => reading.beliefs.push(Belief::Contact(false)),
+            Update::Source { .. } => {}
         }
         reading
     }
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -24,6 +24,7 @@
 pub struct Backoff {
     bounds: Bounds,
     current: Duration,
+    has_failed: bool,
     random: SmallRng,
 }
 
@@ -33,12 +34,14 @@
         Self {
             bounds,
             current: bounds.first,
+            has_failed: false,
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// The delay before the next try; its bound doubles each time.
     pub fn next_delay(&mut self) -> Duration {
+        self.has_failed = true;
         let bound = self.current.min(self.bounds.most);
         self.current = self.current.saturating_mul(2).min(self.bounds.most);
         bound.mul_f64(self.random.random_range(0.0..=1.0))
@@ -47,5 +50,11 @@
     /// Starts again from the first bound, after a success.
     pub fn reset(&mut self) {
         self.current = self.bounds.first;
+        self.has_failed = false;
+    }
+
+    /// Whether there was a delay since the last success.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
     }
 }
--- a/src/poll.rs
+++ b/src/poll.rs
@@ -12,9 +12,11 @@
 use crate::platform::Change;
 use crate::platform::Counts;
 use crate::platform::Entry;
+use crate::platform::Lease;
 use crate::platform::Options;
 use crate::transport::Call;
 use crate::transport::Kind;
+use crate::transport::Payload;
 use crate::transport::Transport;
 
 /// A key whose value cannot be read.
@@ -50,6 +52,15 @@
     pub revision: u64,
 }
 
+/// A call that posts JSON.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Post {
+    /// Path of the call.
+    pub path: String,
+    /// Body of the call.
+    pub body: String,
+}
+
 /// How a store spells its calls.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
@@ -61,6 +72,14 @@
     pub poll: fn(prefix: &str, after: u64, wait: Duration) -> String,
     /// Reads the answer to a poll.
     pub batch: fn(&[u8]) -> Decoded<Batch>,
+    /// Asks for a lease.
+    pub grant: fn(ttl: Duration) -> Post,
+    /// Reads the answer to that.
+    pub lease: fn(&[u8]) -> Decoded<Lease>,
+    /// Writes a key that goes with a lease, whatever it held before.
+    pub put: fn(key: &str, value: &[u8], lease: Lease) -> Post,
+    /// Renews a lease.
+    pub renew: fn(Lease) -> Post,
 }
 
 /// Reader of a store, cheap to clone.
@@ -126,4 +145,51 @@
         };
         self.transport.call(&call, self.dialect.batch).await
     }
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// After [`crate::Error::Unanswered`] a lease may exist that nobody knows of;
+    /// it holds no key and lapses by itself.
+    pub async fn grant(&self, ttl: Duration) -> Result<Lease> {
+        let post = (self.dialect.grant)(ttl);
+        let call = posted("lease grant", Kind::Lease, post);
+        self.transport.call(&call, self.dialect.lease).await
+    }
+
+    /// Writes a key that goes with a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::Error::Refused`] when the lease has lapsed. After
+    /// [`crate::Error::Unanswered`] the key may have been written, or may be
+    /// later while the lease lasts.
+    pub async fn put(&self, key: &str, value: &[u8], lease: Lease) -> Result<()> {
+        let post = (self.dialect.put)(key, value, lease);
+        let call = posted("put", Kind::Write, post);
+        self.transport.call(&call, |_| Ok(())).await
+    }
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::Error::Refused`] when it has lapsed; after any other error it may
+    /// have been renewed.
+    pub async fn renew(&self, lease: Lease) -> Result<()> {
+        let post = (self.dialect.renew)(lease);
+        let call = posted("lease renewal", Kind::Lease, post);
+        self.transport.call(&call, |_| Ok(())).await
+    }
+}
+
+fn posted(step: &'static str, kind: Kind, post: Post) -> Call {
+    Call {
+        step,
+        kind,
+        path: post.path.into(),
+        body: Some(Payload::Json(post.body)),
+        wait: Duration::ZERO,
+    }
 }
--- /dev/null
+++ b/src/replica.rs
@@ -0,0 +1,32 @@
+//! Every instance's copy of the store, kept up through few instances.
+//!
+//! If each instance watched the store, each change would cost a call for each of
+//! them, and a fleet outgrows the store's rates. Instead the instances of a zone
+//! form a tree by rank: the first follows the store, the others subscribe to the
+//! one above them and get each change within milliseconds. With each heartbeat
+//! goes the age of the last contact with the store, so that an instance whose
+//! upstream is cut off, frozen or gone notices in time and asks the store itself.
+//!
+//! Ranks need no agreement. Two instances that disagree about them only cause a
+//! few more calls, since subscriptions always lead to a smaller rank.
+
+mod copy;
+mod follow;
+mod message;
+mod publish;
+mod register;
+mod store;
+mod subscribe;
+mod tree;
+
+pub(crate) use copy::Shared;
+pub(crate) use follow::Sources;
+pub(crate) use follow::follow;
+pub(crate) use publish::publish;
+pub(crate) use register::Registration;
+pub(crate) use register::register;
+
+pub use copy::Update;
+pub use register::Member;
+pub use store::Pace;
+pub use tree::upstream;
--- /dev/null
+++ b/src/replica/follow.rs
@@ -0,0 +1,336 @@
+//! Choosing the source: the instance above, or the store.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::Logger;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::error::Error;
+use crate::id;
+use crate::pacing::Backoff;
+use crate::platform::Change;
+use crate::platform::Entry;
+use crate::poll::Reader;
+use crate::replica::Member;
+use crate::replica::Pace;
+use crate::replica::Shared;
+use crate::replica::Update;
+use crate::replica::message::News;
+use crate::replica::register;
+use crate::replica::store;
+use crate::replica::subscribe::Subscription;
+use crate::replica::tree;
+
+/// Age of the last contact with the store at which an upstream is left.
+///
+/// Operators' and servers' changes must be in force 3 s after the store has
+/// them, also where only the upstream is cut off. Asking the store takes some
+/// milliseconds from there, in its slow hours half a second.
+const MOST_AGE: Duration = Duration::from_millis(2_000);
+
+/// Age below which an upstream is worth a subscription; lower than
+/// [`MOST_AGE`], or instances would come and go around it.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// Pause before an upstream that failed is tried again.
+const REST: Duration = Duration::from_secs(2);
+
+/// Longest pause between two polls while the store is silent and an upstream is
+/// heard: it tells at once when the store is back.
+const SLOW_RETRY: Duration = Duration::from_millis(1_500);
+
+/// Where changes can come from.
+pub(crate) struct Sources {
+    pub(crate) reader: Reader,
+    pub(crate) prefix: String,
+    pub(crate) pace: Pace,
+    pub(crate) me: id::Instance,
+    pub(crate) zone: id::Zone,
+    /// Instances to ask when the store does not answer at the start.
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    pub(crate) log: Logger,
+}
+
+/// Why following ended.
+enum End {
+    Failed(Error),
+    Abandoned,
+}
+
+impl From<Error> for End {
+    fn from(error: Error) -> Self {
+        Self::Failed(error)
+    }
+}
+
+impl<T> From<mpsc::error::SendError<T>> for End {
+    fn from(_: mpsc::error::SendError<T>) -> Self {
+        Self::Abandoned
+    }
+}
+
+struct Follower {
+    sources: Sources,
+    shared: Arc<Shared>,
+    sender: mpsc::Sender<Update>,
+    members: HashMap<String, Member>,
+    /// Upstreams that failed, and when they may be tried again.
+    resting: HashMap<SocketAddrV4, Instant>,
+    is_silent: bool,
+    /// The store has dropped the history after the horizon.
+    is_compacted: bool,
+    backoff: Backoff,
+}
+
+/// Keeps the copy up to date until the receiver is dropped.
+pub(crate) async fn follow(sources: Sources, shared: Arc<Shared>, sender: mpsc::Sender<Update>) {
+    let options = sources.reader.options().clone();
+    let mut follower = Follower {
+        sources,
+        shared,
+        sender,
+        members: HashMap::new(),
+        resting: HashMap::new(),
+        is_silent: true,
+        is_compacted: false,
+        backoff: Backoff::new(options.backoff, options.seed),
+    };
+    while !matches!(follower.round().await, Err(End::Abandoned)) {}
+}
+
+impl Follower {
+    /// One poll of the store, or one subscription from its begin to its end.
+    async fn round(&mut self) -> Result<(), End> {
+        if let Some(peer) = self.candidate() {
+            return self.subscribe(peer).await;
+        }
+        match self.ask_store().await {
+            Err(End::Failed(error)) => {
+                self.fail(&error).await?;
+                let pause = self.backoff.next_delay().min(SLOW_RETRY);
+                time::sleep(pause).await;
+                Ok(())
+            }
+            other => other,
+        }
+    }
+
+    /// The nearest upstream that does not rest. Before anything is known, which
+    /// is so when the store was silent at the start, any seed will do.
+    fn candidate(&mut self) -> Option<SocketAddrV4> {
+        let now = Instant::now();
+        self.resting.retain(|_, until| now < *until);
+        if self.shared.horizon().is_none() {
+            let seeds = if self.backoff.has_failed() {
+                self.sources.seeds.as_slice()
+            } else {
+                &[]
+            };
+            return seeds.iter().find(|seed| self.may_try(seed)).copied();
+        }
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        let above = tree::upstream(&self.sources.me, &self.sources.zone, &members);
+        let mut addresses = above.iter().map(|member| member.address);
+        addresses.find(|address| self.may_try(address))
+    }
+
+    fn may_try(&self, address: &SocketAddrV4) -> bool {
+        !self.resting.contains_key(address)
+    }
+
+    /// Follows an upstream until it fails or falls behind the store.
+    ///
+    /// Whatever ends it, the store is asked next, at once: other upstreams may be
+    /// cut off together with this one, and each try would make the copy older.
+    async fn subscribe(&mut self, peer: SocketAddrV4) -> Result<(), End> {
+        self.resting.insert(peer, Instant::now() + REST);
+        let horizon = self.shared.horizon();
+        let joined = Subscription::join(peer, &self.sources.me, horizon).await;
+        let (mut subscription, first) = match joined {
+            Ok(joined) => joined,
+            Err(error) => {
+                warn!(self.sources.log, "upstream not reached"; "error" => %error);
+                return self.catch_up().await;
+            }
+        };
+        let is_fresh = age(&first).is_some_and(|age| age < FRESH);
+        if is_fresh || horizon.is_none() {
+            self.take(first).await?;
+        }
+        if !is_fresh {
+            return self.catch_up().await;
+        }
+        self.tell_source(peer).await?;
+        let error = loop {
+            match subscription.next().await {
+                Ok(news) => self.take(news).await?,
+                Err(error) => break error.to_string(),
+            }
+            if self.is_old() {
+                break "no contact with the store".to_owned();
+            }
+        };
+        self.resting.insert(peer, Instant::now() + REST);
+        warn!(self.sources.log, "upstream lost"; "peer" => %peer, "reason" => error);
+        self.sender.send(Update::Source { upstream: None }).await?;
+        self.catch_up().await
+    }
+
+    async fn tell_source(&mut self, peer: SocketAddrV4) -> Result<(), End> {
+        let member = self.members.values().find(|m| m.address == peer);
+        let upstream = member.map(|member| member.instance.clone());
+        Ok(self.sender.send(Update::Source { upstream }).await?)
+    }
+
+    fn is_old(&self) -> bool {
+        let age = self.shared.age(Instant::now());
+        age.is_none_or(|age| age > MOST_AGE)
+    }
+
+    /// Asks the store without waiting for a change.
+    async fn catch_up(&mut self) -> Result<(), End> {
+        self.is_silent = true;
+        self.ask_store().await.or_else(|end| match end {
+            // The next round repeats it, with its pauses.
+            End::Failed(_) => Ok(()),
+            End::Abandoned => Err(End::Abandoned),
+        })
+    }
+
+    async fn take(&mut self, news: News) -> Result<(), End> {
+        let contact = age(&news).map(|age| Instant::now() - age);
+        let revision = news.revision;
+        let changes: Vec<Change> = news.rows.into_iter().map(Change::from).collect();
+        if news.is_everything {
+            let entries = changes.into_iter().filter_map(|change| match change {
+                Change::Put(entry) => Some(entry),
+                Change::Delete { .. } => None,
+            });
+            let refused = Vec::new();
+            self.reset(entries.collect(), refused, revision).await?;
+        } else if !changes.is_empty() {
+            self.apply(changes, revision).await?;
+        }
+        let Some(contact) = contact else {
+            return Ok(());
+        };
+        self.shared.touch(contact);
+        if !self.is_old() {
+            self.is_silent = false;
+            self.sender.send(Update::Contact).await?;
+        }
+        Ok(())
+    }
+
+    async fn ask_store(&mut self) -> Result<(), End> {
+        match self.shared.horizon().filter(|_| !self.is_compacted) {
+            None => self.list().await,
+            Some(horizon) => self.poll(horizon).await,
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), End> {
+        let asked = Instant::now();
+        let listing = store::list(&self.sources.reader, &self.sources.prefix).await?;
+        self.is_compacted = false;
+        self.reset(listing.entries, listing.refused, listing.revision)
+            .await?;
+        self.answered(asked).await
+    }
+
+    /// While the store is silent the poll does not wait, so that the first
+    /// answer after an outage comes at once.
+    async fn poll(&mut self, horizon: u64) -> Result<(), End> {
+        let pace = self.sources.pace;
+        let wait = match (self.is_silent, self.shared.subscribers()) {
+            (true, _) => Duration::ZERO,
+            (false, 0) => pace.wait,
+            (false, _) => pace.wait_for_others,
+        };
+        let asked = Instant::now();
+        let batch = store::poll(&self.sources.reader, &self.sources.prefix, horizon, wait).await?;
+        for refusal in batch.refused {
+            self.sender.send(Update::Refused(refusal)).await?;
+        }
+        let has_changes = !batch.changes.is_empty();
+        self.apply(batch.changes, batch.revision).await?;
+        // A poll that waited in vain was answered no earlier than its wait's end.
+        let waited = if has_changes { Duration::ZERO } else { wait };
+        self.answered(asked + waited.min(asked.elapsed())).await?;
+        store::pause(&pace, asked, wait, has_changes).await;
+        Ok(())
+    }
+
+    async fn answered(&mut self, at: Instant) -> Result<(), End> {
+        self.is_silent = false;
+        self.backoff.reset();
+        self.shared.touch(at);
+        Ok(self.sender.send(Update::Contact).await?)
+    }
+
+    async fn reset(
+        &mut self,
+        entries: Vec<Entry>,
+        refused: Vec<crate::poll::Refusal>,
+        revision: u64,
+    ) -> Result<(), End> {
+        if !self.shared.reset(&entries, revision) {
+            return Ok(());
+        }
+        self.members.clear();
+        for entry in &entries {
+            self.enroll(&entry.key, &entry.value);
+        }
+        let reset = Update::Reset {
+            entries,
+            refused,
+            revision,
+        };
+        Ok(self.sender.send(reset).await?)
+    }
+
+    async fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Result<(), End> {
+        for change in self.shared.apply(changes, revision) {
+            match &change {
+                Change::Put(entry) => self.enroll(&entry.key, &entry.value),
+                Change::Delete { key, .. } => {
+                    self.members.remove(key);
+                }
+            }
+            self.sender.send(Update::Change(change)).await?;
+        }
+        Ok(())
+    }
+
+    fn enroll(&mut self, key: &str, value: &[u8]) {
+        match register::member(key, value) {
+            None => {}
+            Some(Ok(member)) => {
+                self.members.insert(key.to_owned(), member);
+            }
+            Some(Err(error)) => {
+                warn!(self.sources.log, "member refused"; "key" => key, "error" => %error);
+            }
+        }
+    }
+
+    async fn fail(&mut self, error: &Error) -> Result<(), End> {
+        self.is_compacted |= store::needs_listing(error);
+        if self.is_silent && self.backoff.has_failed() {
+            return Ok(());
+        }
+        self.is_silent = true;
+        let reason = error.to_string();
+        Ok(self.sender.send(Update::Silent { reason }).await?)
+    }
+}
+
+fn age(news: &News) -> Option<Duration> {
+    news.age_ms.map(Duration::from_millis)
+}
--- /dev/null
+++ b/src/replica/store.rs
@@ -0,0 +1,86 @@
+//! Following the store itself, by listings and long polls.
+//!
+//! A failed poll is repeated from the same revision, so that nothing is missed;
+//! only when the store has dropped that history is the prefix listed again.
+
+use std::time::Duration;
+
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::platform::Entry;
+use crate::poll::Batch;
+use crate::poll::Reader;
+use crate::poll::Refusal;
+
+/// Times of polling.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Longest time that a poll waits for a change while nobody subscribes here.
+    ///
+    /// A connection that something in between has forgotten shows only by the
+    /// missing answer, so this bounds how old the copy can become unnoticed.
+    pub wait: Duration,
+    /// Longest time that a poll waits while somebody subscribes here; shorter,
+    /// since what subscribers need beside it adds up.
+    pub wait_for_others: Duration,
+    /// Pause after changes, in which further ones gather for the next poll.
+    ///
+    /// Without it, each change of any server costs a call.
+    pub gather: Duration,
+}
+
+/// A whole listing.
+pub(crate) struct Listing {
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) refused: Vec<Refusal>,
+    pub(crate) revision: u64,
+}
+
+/// Reads all pages. They are no snapshot, so that polling goes on from the first
+/// page's revision: what changed since then is told again.
+pub(crate) async fn list(reader: &Reader, prefix: &str) -> Result<Listing> {
+    let mut listing = Listing {
+        entries: Vec::new(),
+        refused: Vec::new(),
+        revision: 0,
+    };
+    let mut first = None;
+    let mut after = None;
+    loop {
+        let page = reader.page(prefix, after.as_deref()).await?;
+        listing.revision = *first.get_or_insert(page.revision);
+        listing.entries.extend(page.entries);
+        listing.refused.extend(page.refused);
+        after = page.next;
+        if after.is_none() {
+            return Ok(listing);
+        }
+    }
+}
+
+/// Waits for changes, and a little longer for more of them.
+pub(crate) async fn poll(
+    reader: &Reader,
+    prefix: &str,
+    horizon: u64,
+    wait: Duration,
+) -> Result<Batch> {
+    reader.poll(prefix, horizon, wait).await
+}
+
+/// The pause before the next poll.
+///
+/// A store that answers at once without a change would be asked without end.
+pub(crate) async fn pause(pace: &Pace, started: Instant, wait: Duration, has_changes: bool) {
+    if has_changes || started.elapsed() < wait / 2 {
+        time::sleep(pace.gather).await;
+    }
+}
+
+/// Whether everything has to be listed again.
+pub(crate) fn needs_listing(error: &Error) -> bool {
+    matches!(error, Error::Compacted { .. })
+}
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use reqwest::Response;
 use reqwest::StatusCode;
+use reqwest::header::CONTENT_TYPE;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -31,6 +32,9 @@
 /// that is no store and would only fill the memory.
 pub(crate) const MAX_ANSWER: usize = 64 << 20;
 
+/// Media type of posted text.
+const JSON: &str = "application/json";
+
 /// Idle connections kept for each address.
 ///
 /// A connection that something in between has forgotten swallows the call that
@@ -56,6 +60,15 @@
     Watch,
 }
 
+/// What a call posts.
+#[derive(Debug)]
+pub(crate) enum Payload {
+    /// A request to the etcd gateway.
+    Gateway(Box<Body>),
+    /// JSON that a dialect has spelled.
+    Json(String),
+}
+
 /// One call, whatever the address it goes to.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -64,7 +77,7 @@
     /// Path, with the query if there is one.
     pub(crate) path: Cow<'static, str>,
     /// What is posted; without it the call is a GET.
-    pub(crate) body: Option<Body>,
+    pub(crate) body: Option<Payload>,
     /// Time that the store may hold the answer back, beside the time of a call.
     pub(crate) wait: Duration,
 }
@@ -225,7 +238,11 @@
         self.admit(call, base)?;
         let url = format!("{base}{}", call.path);
         let sending = match &call.body {
-            Some(body) => self.http.post(url).json(body).send(),
+            Some(Payload::Gateway(body)) => self.http.post(url).json(body.as_ref()).send(),
+            Some(Payload::Json(text)) => {
+                let post = self.http.post(url).header(CONTENT_TYPE, JSON);
+                post.body(text.clone()).send()
+            }
             None => self.http.get(url).send(),
         };
         let response = time::timeout(self.options.call_timeout + call.wait, sending)
