--- /dev/null
+++ b/soak/src/fault.rs
@@ -0,0 +1,125 @@
+//! Faults, drawn by seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::link::Harm;
+use crate::store::Mode;
+
+/// What happens to whom. Numbers of instances are taken modulo their count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// An instance gets SIGTERM.
+    Stop(u8),
+    /// An instance gets SIGKILL.
+    Kill(u8),
+    /// All instances get SIGKILL.
+    KillAll,
+    /// An instance stands still.
+    Freeze(u8, u64),
+    /// An instance gets SIGHUP.
+    Reload(u8),
+    /// The link between an instance and the store is harmed.
+    Link(u8, Harm, u64),
+    /// The store misbehaves.
+    Store(Mode, u64),
+    /// The store is away, and the servers' entries lapse meanwhile.
+    Lapse(u64),
+    /// The store drops its history.
+    Compact,
+    /// The store ends all leases.
+    Revoke,
+    /// A backend server crashes; its entry lapses, and another starts.
+    Crash(u8),
+    /// A backend server drains and leaves; another starts.
+    Drain(u8),
+    /// A route is withdrawn and added again.
+    Route,
+    /// Several configurations in quick succession.
+    Storm(u8),
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// A fault and when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Since the begin of the faults.
+    pub at: Duration,
+    /// What happens.
+    pub kind: Kind,
+}
+
+/// Mean time between two faults, in milliseconds. Most last for seconds, so that
+/// several overlap.
+const EVERY_MS: u64 = 900;
+
+/// The faults of a seed, in order of time.
+pub fn draw(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = 0;
+    loop {
+        at += random.random_range(0..2 * EVERY_MS);
+        let begin = Duration::from_millis(at);
+        if begin >= length {
+            return faults;
+        }
+        let kind = kind(&mut random);
+        faults.push(Fault { at: begin, kind });
+        // Signals and restarts come in series, too.
+        if random.random_range(0..4) == 0 {
+            let again = Duration::from_millis(at + random.random_range(50..600));
+            faults.push(Fault { at: again, kind });
+            at = again.as_millis() as u64;
+        }
+    }
+}
+
+fn kind(random: &mut SmallRng) -> Kind {
+    let who = random.random_range(0..64);
+    let ms = random.random_range(500..5_000);
+    match random.random_range(0..20) {
+        0 | 1 => Kind::Stop(who),
+        2 | 3 => Kind::Kill(who),
+        4 => Kind::KillAll,
+        5 | 6 => Kind::Freeze(who, ms),
+        7 => Kind::Reload(who),
+        8..=10 => Kind::Link(who, harm(random), ms),
+        11 | 12 => Kind::Store(mode(random), ms),
+        13 => Kind::Lapse(ms),
+        14 => Kind::Compact,
+        15 => Kind::Revoke,
+        16 => Kind::Crash(who),
+        17 => Kind::Drain(who),
+        18 => Kind::Route,
+        _ => Kind::Storm(random.random_range(2..8)),
+    }
+}
+
+fn harm(random: &mut SmallRng) -> Harm {
+    match random.random_range(0..5) {
+        0 => Harm::Cut,
+        1 => Harm::OneWay,
+        2 => Harm::Reset,
+        3 => Harm::Delay(random.random_range(20..400)),
+        _ => Harm::Forgotten,
+    }
+}
+
+fn mode(random: &mut SmallRng) -> Mode {
+    match random.random_range(0..4) {
+        0 => Mode::Busy,
+        1 => Mode::Silent,
+        2 => Mode::Slow(random.random_range(50..400)),
+        _ => Mode::Losing,
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -72,9 +72,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Longest wait of a poll on which others depend. What they may be behind adds
-/// up: this wait, the pause in which changes gather, and the next wait have to
-/// stay below the 2 s after which they ask the store themselves.
-const WAIT_FOR_OTHERS: Duration = Duration::from_millis(600);
+/// up: this wait, the pause in which changes gather, a third of this wait and a
+/// heartbeat have to stay below the 2 s after which they ask the store themselves.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 
 /// Time for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -83,6 +83,8 @@
     /// Upstreams that failed, and when they may be tried again.
     resting: HashMap<SocketAddrV4, Instant>,
     is_silent: bool,
+    /// The last poll brought changes.
+    had_changes: bool,
     /// The store has dropped the history after the horizon.
     is_compacted: bool,
     backoff: Backoff,
@@ -98,6 +100,7 @@
         members: HashMap::new(),
         resting: HashMap::new(),
         is_silent: true,
+        had_changes: false,
         is_compacted: false,
         backoff: Backoff::new(options.backoff, options.seed),
     };
@@ -248,17 +251,14 @@
     /// answer after an outage comes at once.
     async fn poll(&mut self, horizon: u64) -> Result<(), End> {
         let pace = self.sources.pace;
-        let wait = match (self.is_silent, self.shared.subscribers()) {
-            (true, _) => Duration::ZERO,
-            (false, 0) => pace.wait,
-            (false, _) => pace.wait_for_others,
-        };
+        let wait = self.wait();
         let asked = Instant::now();
         let batch = store::poll(&self.sources.reader, &self.sources.prefix, horizon, wait).await?;
         for refusal in batch.refused {
             self.sender.send(Update::Refused(refusal)).await?;
         }
         let has_changes = !batch.changes.is_empty();
+        self.had_changes = has_changes;
         self.apply(batch.changes, batch.revision).await?;
         // A poll that waited in vain was answered no earlier than its wait's end.
         let waited = if has_changes { Duration::ZERO } else { wait };
@@ -267,6 +267,21 @@
         Ok(())
     }
 
+    /// How long the next poll may wait.
+    ///
+    /// A poll that brought changes is known to be as fresh as its question only,
+    /// so that the one after it is kept short: an upstream's age stays below
+    /// [`MOST_AGE`] although polls without changes wait for a second.
+    fn wait(&self) -> Duration {
+        let pace = self.sources.pace;
+        match (self.is_silent, self.shared.subscribers()) {
+            (true, _) => Duration::ZERO,
+            (false, 0) => pace.wait,
+            (false, _) if self.had_changes => pace.wait_for_others / 3,
+            (false, _) => pace.wait_for_others,
+        }
+    }
+
     async fn answered(&mut self, at: Instant) -> Result<(), End> {
         self.is_silent = false;
         self.backoff.reset();
