Count what the other instances of the zone send, too, when weighing servers

Change: an instance's own requests and flows count as often as there are instances in its zone; margin of other zones 1.5 in place of 2.0 a slot.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -369,7 +369,7 @@
                 let upstream = upstream.as_ref().map(ToString::to_string);
                 info!(self.log, "source of changes"; "upstream" => upstream);
             }
-            Update::Change(_) | Update::Refused(_) => {}
+            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) => {}
         }
     }
 
@@ -463,6 +463,7 @@
         },
         Belief::Gone(server) => Some(("server gone", server.to_string())),
         Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
+        Belief::Neighbours(count) => Some(("instances in this zone", count.to_string())),
         Belief::Contact(_) => None,
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -99,7 +99,7 @@
 }
 
 fn default_spill() -> f64 {
-    2.0
+    1.5
 }
 
 fn default_max_flows() -> u32 {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -30,6 +30,7 @@
             Update::Refused(refusal) => reading.refused.push(refusal),
             Update::Contact => reading.beliefs.push(Belief::Contact(true)),
             Update::Silent { .. } => reading.beliefs.push(Belief::Contact(false)),
+            Update::Neighbours(count) => reading.beliefs.push(Belief::Neighbours(count)),
             Update::Source { .. } => {}
         }
         reading
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -35,6 +35,8 @@
     pub(crate) tried: &'a [Slot],
     /// Requests a slot by which a server of another zone must be less loaded.
     pub(crate) spill: f64,
+    /// Instances that share this zone's callers, this one included.
+    pub(crate) neighbours: usize,
     pub(crate) now: Instant,
 }
 
@@ -83,9 +85,14 @@
 }
 
 /// Expected requests a slot, with the margin of a server in another zone.
+///
+/// An instance sees its own requests only. Routers spread callers evenly over a
+/// zone's instances, so that each of the others has about as many there; without
+/// this a zone of three instances that lost two of its five servers let their
+/// queues overflow before it used another zone's.
 fn load(record: &Record, question: &Question<'_>) -> f64 {
-    let requests = f64::from(record.outstanding) + 1.0;
-    let idle = f64::from(record.flows) * FLOW_WEIGHT;
+    let mine = f64::from(record.outstanding) + f64::from(record.flows) * FLOW_WEIGHT;
+    let all = mine * question.neighbours as f64 + 1.0;
     let rate = if question.now < record.cold_until {
         COLD_RATE
     } else {
@@ -97,5 +104,5 @@
     } else {
         question.spill
     };
-    (requests + idle) / (slots * rate) + margin
+    all / (slots * rate) + margin
 }
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -93,6 +93,8 @@
     Gone(id::Server),
     /// A configuration.
     Routes(Routes),
+    /// Instances that share this zone's callers, this one included.
+    Neighbours(usize),
     /// Whether the store answers.
     Contact(bool),
 }
@@ -124,6 +126,8 @@
     directory: Directory,
     routes: Option<Routes>,
     has_servers: bool,
+    /// Instances that share this zone's callers, this one included.
+    neighbours: usize,
     table: Table,
     /// When handshakes are due, earliest first; ones that are over stay until then.
     due: BinaryHeap<Reverse<(Instant, Pair)>>,
@@ -145,6 +149,7 @@
             directory: Directory::new(options.flow_ttl),
             routes: None,
             has_servers: false,
+            neighbours: 1,
             table: Table::new(options.max_flows),
             due: BinaryHeap::new(),
             round_trip: RoundTrip::default(),
@@ -168,6 +173,7 @@
             Belief::Server(server) => self.directory.put(now, server),
             Belief::Gone(server) => self.directory.remove(now, &server),
             Belief::Routes(routes) => return self.configure(routes),
+            Belief::Neighbours(count) => self.neighbours = count.max(1),
             Belief::Contact(is_answering) => self.directory.contact(now, is_answering),
         }
         true
@@ -288,6 +294,7 @@
             zone: &self.options.zone,
             tried,
             spill: self.options.spill,
+            neighbours: self.neighbours,
             now,
         };
         choice::choose(&self.directory, &question, &mut self.random)
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -80,6 +80,8 @@
     shared: Arc<Shared>,
     sender: mpsc::Sender<Update>,
     members: HashMap<String, Member>,
+    /// Members of this zone, as told last.
+    neighbours: usize,
     /// Upstreams that failed, and when they may be tried again.
     resting: HashMap<SocketAddrV4, Instant>,
     is_silent: bool,
@@ -98,6 +100,7 @@
         shared,
         sender,
         members: HashMap::new(),
+        neighbours: 0,
         resting: HashMap::new(),
         is_silent: true,
         had_changes: false,
@@ -307,7 +310,19 @@
             refused,
             revision,
         };
-        Ok(self.sender.send(reset).await?)
+        self.sender.send(reset).await?;
+        self.tell_neighbours().await
+    }
+
+    /// Tells how many instances share this zone's callers, if that has changed.
+    async fn tell_neighbours(&mut self) -> Result<(), End> {
+        let zone = &self.sources.zone;
+        let count = self.members.values().filter(|m| m.zone == *zone).count();
+        if count != self.neighbours {
+            self.neighbours = count;
+            self.sender.send(Update::Neighbours(count)).await?;
+        }
+        Ok(())
     }
 
     async fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Result<(), End> {
@@ -320,7 +335,7 @@
             }
             self.sender.send(Update::Change(change)).await?;
         }
-        Ok(())
+        self.tell_neighbours().await
     }
 
     fn enroll(&mut self, key: &str, value: &[u8]) {
