--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -98,8 +98,11 @@
     6_000
 }
 
+/// Measured from 0.75 to 4 on days with bursts, cut zones and lost servers: less
+/// loses flows when a zone is cut off, more lets queues overflow in a zone that
+/// lost servers.
 fn default_spill() -> f64 {
-    1.5
+    2.5
 }
 
 fn default_max_flows() -> u32 {
