--- a/soak/src/router.rs
+++ b/soak/src/router.rs
@@ -112,7 +112,7 @@
 }
 
 /// The whole answer to a GET, if it comes in time.
-pub(crate) async fn ask(address: SocketAddrV4, path: &str) -> Option<String> {
+pub async fn ask(address: SocketAddrV4, path: &str) -> Option<String> {
     let asking = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -112,7 +112,8 @@
 
 /// Everything that the clones of a client share.
 pub(crate) struct Transport {
-    http: reqwest::Client,
+    /// The client for new calls; a lock that is a leaf.
+    http: Mutex<reqwest::Client>,
     bases: Vec<Base>,
     /// Index of the address to be tried first.
     current: AtomicUsize,
@@ -126,18 +127,7 @@
         if bases.is_empty() {
             return Err(unusable("no address"));
         }
-        // Nothing below this module may send a write a second time: neither a
-        // proxy from the environment, nor a redirect, nor the library's retries.
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .connect_timeout(options.connect_timeout)
-            .pool_max_idle_per_host(MAX_IDLE)
-            .pool_idle_timeout(MAX_IDLE_TIME)
-            .tcp_nodelay(true)
-            .build()
-            .map_err(unusable)?;
+        let http = Mutex::new(http_client(&options)?);
         let now = Instant::now();
         let allowance = Allowance {
             reads: Bucket::new(options.reads, now),
@@ -228,26 +218,51 @@
             let body = read_body(call, base, response).await?;
             decode(&body).map_err(|reason| call.unanswered(base, reason))
         };
-        time::timeout(self.options.call_timeout + call.wait, whole)
-            .await
-            .unwrap_or_else(|_| Err(call.unanswered(base, "timed out")))
+        let outcome = time::timeout(self.options.call_timeout + call.wait, whole).await;
+        outcome.unwrap_or_else(|_| {
+            self.leave_connections();
+            Err(call.unanswered(base, "timed out"))
+        })
+    }
+
+    fn http(&self) -> reqwest::Client {
+        let http = self.http.lock().unwrap_or_else(PoisonError::into_inner);
+        http.clone()
+    }
+
+    /// Makes later calls open new connections.
+    ///
+    /// When something in between forgets one connection, it has mostly forgotten
+    /// the idle ones, too. Each would swallow a call until its timeout, and a
+    /// change that a poll was to bring would come seconds too late.
+    fn leave_connections(&self) {
+        // The options were accepted once; a client that still cannot be had
+        // leaves the old one in use.
+        if let Ok(fresh) = http_client(&self.options) {
+            let http = self.http.lock();
+            *http.unwrap_or_else(PoisonError::into_inner) = fresh;
+        }
     }
 
     /// Sends a call and waits for the head of its answer.
     async fn start(&self, call: &Call, base: &Base) -> Result<Response> {
         self.admit(call, base)?;
         let url = format!("{base}{}", call.path);
+        let http = self.http();
         let sending = match &call.body {
-            Some(Payload::Gateway(body)) => self.http.post(url).json(body.as_ref()).send(),
+            Some(Payload::Gateway(body)) => http.post(url).json(body.as_ref()).send(),
             Some(Payload::Json(text)) => {
-                let post = self.http.post(url).header(CONTENT_TYPE, JSON);
+                let post = http.post(url).header(CONTENT_TYPE, JSON);
                 post.body(text.clone()).send()
             }
-            None => self.http.get(url).send(),
+            None => http.get(url).send(),
         };
         let response = time::timeout(self.options.call_timeout + call.wait, sending)
             .await
-            .map_err(|_| call.unanswered(base, "timed out"))?
+            .map_err(|_| {
+                self.leave_connections();
+                call.unanswered(base, "timed out")
+            })?
             .map_err(|e| sending_failed(call, base, &e))?;
         check_status(call, base, response).await
     }
@@ -285,6 +300,21 @@
     }
 }
 
+/// Nothing below this module may send a write a second time: neither a proxy from
+/// the environment, nor a redirect, nor the library's retries.
+fn http_client(options: &Options) -> Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .connect_timeout(options.connect_timeout)
+        .pool_max_idle_per_host(MAX_IDLE)
+        .pool_idle_timeout(MAX_IDLE_TIME)
+        .tcp_nodelay(true)
+        .build()
+        .map_err(unusable)
+}
+
 fn unusable(reason: impl ToString) -> Error {
     Error::Refused {
         step: "platform client",
