Pass over a server that resets new flows when its caller comes again

Ruled out: cut links (the same servers answered other flows meanwhile); routers that changed (other flows' next packets came). Change: an opening of the same caller and service that is unanswered after a round trip marks its server as silent; the new flow goes elsewhere and the old one is opened nowhere else. Tests a_server_that_refuses_... and a_flow_that_its_caller_left_... failed before.

--- a/src/flow/evidence.rs
+++ b/src/flow/evidence.rs
@@ -40,6 +40,11 @@
         self.smoothed = Some(smoothed);
     }
 
+    /// How long the caller's next packet takes when all is well.
+    pub fn usual(&self) -> Duration {
+        self.smoothed.unwrap_or(LEAST_WAIT)
+    }
+
     /// How long a handshake is given before its server counts as silent.
     pub fn wait(&self) -> Duration {
         let wait = self.smoothed.map_or(FIRST_WAIT, |s| s * PATIENCE);
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -131,6 +132,8 @@
     table: Table,
     /// When handshakes are due, earliest first; ones that are over stay until then.
     due: BinaryHeap<Reverse<(Instant, Pair)>>,
+    /// New flows of the last moments, oldest first.
+    openings: VecDeque<(Instant, Pair)>,
     round_trip: RoundTrip,
     /// When a packet of an open flow last came.
     heard: Option<Instant>,
@@ -152,6 +155,7 @@
             neighbours: 1,
             table: Table::new(options.max_flows),
             due: BinaryHeap::new(),
+            openings: VecDeque::new(),
             round_trip: RoundTrip::default(),
             heard: None,
             swept: None,
@@ -272,13 +276,57 @@
         let Some(service) = route.service(&segment.pair).cloned() else {
             return Verdict::Drop(Drop::NoWeight);
         };
-        match self.choose(now, &service, &[]) {
+        let refusing = self.abandoned(now, &segment.pair);
+        let choice = self
+            .choose(now, &service, &refusing)
+            .or_else(|| self.choose(now, &service, &[]));
+        match choice {
             Some(choice) => self.place(now, segment, packet, choice),
             None if self.has_servers => self.refuse(segment.pair, true, version),
             None => Verdict::Drop(Drop::NoView),
         }
     }
 
+    /// Servers that a caller's earlier flows were opened at and that it has left.
+    ///
+    /// A server whose process is gone resets a flow at once. The caller tries
+    /// again from another port a round trip later, and the server, which is never
+    /// busy, would be chosen again: all tries of a request can end there within
+    /// 30 ms. An opening of the same caller that is still unanswered after a round
+    /// trip shows this; where it only comes from another of the caller's users,
+    /// the new flow merely goes to another server.
+    fn abandoned(&mut self, now: Instant, pair: &Pair) -> Vec<Slot> {
+        let usual = self.round_trip.usual();
+        self.openings.retain(|(at, _)| now < *at + COPY_GAP);
+        let is_earlier = |other: &Pair| {
+            other.caller.ip() == pair.caller.ip() && other.service == pair.service && other != pair
+        };
+        let earlier: Vec<Pair> = self
+            .openings
+            .iter()
+            .filter(|(_, other)| is_earlier(other))
+            .map(|(_, other)| *other)
+            .collect();
+        let mut refusing = Vec::new();
+        for pair in earlier {
+            let Some(flow) = self.table.flows.get(&pair) else {
+                continue;
+            };
+            let Phase::Opening(opening) = &flow.phase else {
+                continue;
+            };
+            let sent = opening.sent;
+            if now < sent + usual {
+                continue;
+            }
+            let server = flow.server;
+            refusing.extend(opening.tried.iter().copied());
+            self.begin_closing(pair);
+            self.count_miss(server, sent, now);
+        }
+        refusing
+    }
+
     fn refuse(&mut self, pair: Pair, has_route: bool, version: u64) -> Verdict {
         self.note(Note::Refused {
             pair,
@@ -326,6 +374,7 @@
             self.table.flows.insert(segment.pair, flow);
             self.count_flow(choice.slot);
             self.due.push(Reverse((due, segment.pair)));
+            self.openings.push_back((now, segment.pair));
         }
         Verdict::Forward(target)
     }
--- a/tests/flow/opening.rs
+++ b/tests/flow/opening.rs
@@ -136,3 +136,50 @@
     let verdict = plane.receive(now + ms(201), &next.opening(0), b"");
     assert_eq!(forwarded(verdict), target);
 }
+
+// A server's process is gone and its host resets every opening packet. The
+// caller tries again at once from another port; the server, which has nothing to
+// do, looks like the best choice each time, and the caller's tries are used up
+// within 30 ms.
+#[test]
+fn a_server_that_refuses_is_passed_over_when_the_caller_comes_again() {
+    let now = Instant::now();
+    let servers = (1..=3).map(|n| server(n, "dispatch", LOCAL)).collect();
+    let mut plane = plane(now, servers);
+    open(&mut plane, now, &Caller::new(100, BOOKINGS));
+    let first = forwarded(plane.receive(now + ms(10), &Caller::new(1, BOOKINGS).opening(0), b""));
+    let again = forwarded(plane.receive(now + ms(17), &Caller::new(2, BOOKINGS).opening(0), b""));
+    assert_ne!(again, first);
+    let last = forwarded(plane.receive(now + ms(24), &Caller::new(3, BOOKINGS).opening(0), b""));
+    assert!(last != first && last != again);
+}
+
+// The caller has left, so that a further server would only open a flow that
+// nobody answers, and be suspected for it.
+#[test]
+fn a_flow_that_its_caller_left_is_opened_nowhere_else() {
+    let now = Instant::now();
+    let servers = (1..=3).map(|n| server(n, "dispatch", LOCAL)).collect();
+    let mut plane = plane(now, servers);
+    open(&mut plane, now, &Caller::new(100, BOOKINGS));
+    plane.receive(now + ms(10), &Caller::new(1, BOOKINGS).opening(0), b"first");
+    let again = Caller::new(2, BOOKINGS);
+    let target = forwarded(plane.receive(now + ms(17), &again.opening(0), b"again"));
+    plane.receive(now + ms(23), &again.data(0, target.tag), b"");
+    for at in [40, 60, 80, 100] {
+        assert_eq!(plane.expire(now + ms(at)), Vec::new());
+    }
+}
+
+#[test]
+fn two_users_of_a_caller_share_a_server() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let first = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &first.opening(0), b""));
+    let second = Caller::new(2, BOOKINGS);
+    let other = forwarded(plane.receive(now + ms(30), &second.opening(0), b""));
+    assert_eq!(other, target);
+    let verdict = plane.receive(now + ms(31), &first.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
