--- a/src/bin/godwitreeld/main.rs
+++ b/src/bin/godwitreeld/main.rs
@@ -11,12 +11,12 @@
 use godwitreel::daemon;
 use godwitreel::log;
 use godwitreel::settings;
+use godwitreel::signal;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 const REFUSED: u8 = 1;
 const CUT: u8 = 2;
@@ -74,16 +74,9 @@
 
 impl Signals {
     fn new() -> Result<Self> {
-        let listen = |kind| {
-            signal(kind).map_err(|source| godwitreel::Error::Io {
-                step: "signals",
-                peer: "system".to_owned(),
-                source,
-            })
-        };
         Ok(Self {
-            terminate: listen(SignalKind::terminate())?,
-            interrupt: listen(SignalKind::interrupt())?,
+            terminate: signal::listen(SignalKind::terminate())?,
+            interrupt: signal::listen(SignalKind::interrupt())?,
         })
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,7 +12,9 @@
 mod metric;
 mod run;
 mod settings;
+mod signals;
 mod socket;
+mod start;
 mod stop;
 mod view;
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,7 +1,5 @@
 //! The task that holds an instance's state, and the loop around it.
 
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::io;
 use std::path::Path;
 use std::path::PathBuf;
@@ -10,14 +8,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use siphasher::sip::SipHasher13;
 use slog::Logger;
 use slog::info;
 use slog::warn;
-use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio::time::Instant;
@@ -31,25 +24,18 @@
 use crate::entry::journal::Context;
 use crate::entry::journal::Journal;
 use crate::entry::metric::Metrics;
+use crate::entry::signals::Asked;
+use crate::entry::signals::Signals;
 use crate::entry::socket::Socket;
+use crate::entry::start;
 use crate::entry::stop::Stop;
 use crate::entry::view::Reading;
-use crate::error::Error;
 use crate::error::Result;
 use crate::flow::Belief;
-use crate::flow::Options;
 use crate::flow::Plane;
 use crate::flow::Presence;
 use crate::flow::Timing;
 use crate::flow::Verdict;
-use crate::pacing;
-use crate::platform;
-use crate::platform::poll::Reader;
-use crate::replica;
-use crate::replica::Member;
-use crate::replica::Pace;
-use crate::replica::Registration;
-use crate::replica::Sources;
 use crate::replica::Update;
 
 /// Packets taken before anything else gets its turn.
@@ -58,35 +44,9 @@
 /// Longest time between two looks at what is due.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// Updates of the copy that may wait; its source waits for room beyond.
-const UPDATES: usize = 256;
-
 /// Questions for the status that may wait.
 const QUESTIONS: usize = 16;
 
-/// Flow forgotten after this silence while no configuration says.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Time for a call to the store beside the time that it may wait. Answers take
-/// 4 ms, in bad hours 250.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Longest wait of a poll on which others depend. What they may be behind adds
-/// up: this wait, the pause in which changes gather, a third of this wait and a
-/// heartbeat have to stay below the 2 s after which they ask the store themselves.
-const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
-
-/// Time for connecting to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Delays between tries while the store is silent. A tenth of a second at first,
-/// as most outages at the start of an instance are its own; a second at most,
-/// since new flows must follow the store 4 s after it is back.
-const BACKOFF: pacing::Bounds = pacing::Bounds {
-    first: Duration::from_millis(100),
-    most: Duration::from_secs(1),
-};
-
 struct Instance {
     settings: Settings,
     adapter: Adapter,
@@ -107,7 +67,7 @@
 /// Fails when an address cannot be bound or signals cannot be received.
 pub async fn run(file: PathBuf, settings: Settings, adapter: Adapter, log: Logger) -> Result<()> {
     let mut signals = Signals::new()?;
-    let reader = reader(&settings, &adapter)?;
+    let reader = start::reader(&settings, &adapter)?;
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
     let metrics = Metrics::new(reader.transport());
     metrics.prepare();
@@ -118,12 +78,12 @@
     });
     let socket = Socket::bind(settings.packets, adapter.codec).await?;
     http::serve(settings.ready, settings.metrics, Arc::clone(&shared)).await?;
-    let mut updates = follow(&settings, &adapter, reader, &log).await?;
+    let mut updates = start::follow(&settings, &adapter, reader, &log).await?;
     info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
         "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
     let now = Instant::now();
     let mut instance = Instance {
-        plane: Plane::new(options(&settings)),
+        plane: Plane::new(start::options(&settings)),
         journal: Journal::new(log.clone(), settings.log_lines_per_second, now),
         socket,
         shared,
@@ -156,79 +116,6 @@
     Ok(())
 }
 
-fn options(settings: &Settings) -> Options {
-    Options {
-        zone: settings.zone.clone(),
-        spill: settings.spill,
-        flow_ttl: settings.flow_ttl(),
-        idle_timeout: IDLE_TIMEOUT,
-        max_flows: settings.max_flows as usize,
-        seed: seed(settings),
-    }
-}
-
-/// Differs between instances, so that they do not act in step.
-fn seed(settings: &Settings) -> u64 {
-    let mut hasher = SipHasher13::new();
-    settings.instance.hash(&mut hasher);
-    hasher.finish()
-}
-
-fn reader(settings: &Settings, adapter: &Adapter) -> Result<Reader> {
-    let options = platform::Options {
-        call_timeout: CALL_TIMEOUT,
-        connect_timeout: CONNECT_TIMEOUT,
-        backoff: BACKOFF,
-        reads: settings.store.reads_per_second,
-        seed: seed(settings),
-        ..platform::Options::default()
-    };
-    Reader::new(settings.store.addresses.clone(), options, adapter.dialect)
-}
-
-/// Starts what keeps the copy of the store, and what passes it on.
-async fn follow(
-    settings: &Settings,
-    adapter: &Adapter,
-    reader: Reader,
-    log: &Logger,
-) -> Result<mpsc::Receiver<Update>> {
-    let listener = TcpListener::bind(settings.peers).await;
-    let listener = listener.map_err(|source| Error::Io {
-        step: "bind peer address",
-        peer: settings.peers.to_string(),
-        source,
-    })?;
-    let shared = Arc::new(replica::Shared::default());
-    let (sender, updates) = mpsc::channel(UPDATES);
-    let sources = Sources {
-        reader: reader.clone(),
-        prefix: adapter.vocabulary.prefix.to_owned(),
-        pace: Pace {
-            wait: settings.notice().saturating_sub(CALL_TIMEOUT),
-            wait_for_others: WAIT_FOR_OTHERS,
-            gather: settings.gather(),
-        },
-        me: settings.instance.clone(),
-        zone: settings.zone.clone(),
-        seeds: settings.seeds.clone(),
-        log: log.clone(),
-    };
-    let registration = Registration {
-        reader,
-        member: Member {
-            instance: settings.instance.clone(),
-            zone: settings.zone.clone(),
-            address: settings.peers,
-        },
-        log: log.clone(),
-    };
-    tokio::spawn(replica::publish(listener, Arc::clone(&shared), log.clone()));
-    tokio::spawn(replica::follow(sources, shared, sender));
-    tokio::spawn(replica::register(registration));
-    Ok(updates)
-}
-
 impl Instance {
     fn is_over(&self, now: Instant) -> bool {
         self.stop.is_some_and(|stop| now >= stop.ends_at())
@@ -467,42 +354,3 @@
         Belief::Contact(_) => None,
     }
 }
-
-/// What a signal asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Asked {
-    Stop,
-    Reload,
-}
-
-/// The signals that an instance obeys.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Self> {
-        let listen = |kind| {
-            signal(kind).map_err(|source| Error::Io {
-                step: "signals",
-                peer: "system".to_owned(),
-                source,
-            })
-        };
-        Ok(Self {
-            terminate: listen(SignalKind::terminate())?,
-            interrupt: listen(SignalKind::interrupt())?,
-            hangup: listen(SignalKind::hangup())?,
-        })
-    }
-
-    async fn next(&mut self) -> Asked {
-        tokio::select! {
-            _ = self.terminate.recv() => Asked::Stop,
-            _ = self.interrupt.recv() => Asked::Stop,
-            _ = self.hangup.recv() => Asked::Reload,
-        }
-    }
-}
--- /dev/null
+++ b/src/entry/start.rs
@@ -0,0 +1,125 @@
+//! What an entry instance is started with.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::entry::Adapter;
+use crate::entry::Settings;
+use crate::error::Error;
+use crate::error::Result;
+use crate::flow::Options;
+use crate::pacing;
+use crate::platform;
+use crate::poll::Reader;
+use crate::replica;
+use crate::replica::Member;
+use crate::replica::Pace;
+use crate::replica::Registration;
+use crate::replica::Sources;
+use crate::replica::Update;
+
+/// Updates of the copy that may wait; its source waits for room beyond.
+const UPDATES: usize = 256;
+
+/// Flow forgotten after this silence while no configuration says.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time for a call to the store beside the time that it may wait. Answers take
+/// 4 ms, in bad hours 250.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest wait of a poll on which others depend. What they may be behind adds
+/// up: this wait, the pause in which changes gather, a third of this wait and a
+/// heartbeat have to stay below the 2 s after which they ask the store themselves.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
+
+/// Time for connecting to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Delays between tries while the store is silent. A tenth of a second at first,
+/// as most outages at the start of an instance are its own; a second at most,
+/// since new flows must follow the store 4 s after it is back.
+const BACKOFF: pacing::Bounds = pacing::Bounds {
+    first: Duration::from_millis(100),
+    most: Duration::from_secs(1),
+};
+
+pub(crate) fn options(settings: &Settings) -> Options {
+    Options {
+        zone: settings.zone.clone(),
+        spill: settings.spill,
+        flow_ttl: settings.flow_ttl(),
+        idle_timeout: IDLE_TIMEOUT,
+        max_flows: settings.max_flows as usize,
+        seed: seed(settings),
+    }
+}
+
+/// Differs between instances, so that they do not act in step.
+fn seed(settings: &Settings) -> u64 {
+    let mut hasher = SipHasher13::new();
+    settings.instance.hash(&mut hasher);
+    hasher.finish()
+}
+
+pub(crate) fn reader(settings: &Settings, adapter: &Adapter) -> Result<Reader> {
+    let options = platform::Options {
+        call_timeout: CALL_TIMEOUT,
+        connect_timeout: CONNECT_TIMEOUT,
+        backoff: BACKOFF,
+        reads: settings.store.reads_per_second,
+        seed: seed(settings),
+        ..platform::Options::default()
+    };
+    Reader::new(settings.store.addresses.clone(), options, adapter.dialect)
+}
+
+/// Starts what keeps the copy of the store, and what passes it on.
+pub(crate) async fn follow(
+    settings: &Settings,
+    adapter: &Adapter,
+    reader: Reader,
+    log: &Logger,
+) -> Result<mpsc::Receiver<Update>> {
+    let listener = TcpListener::bind(settings.peers).await;
+    let listener = listener.map_err(|source| Error::Io {
+        step: "bind peer address",
+        peer: settings.peers.to_string(),
+        source,
+    })?;
+    let shared = Arc::new(replica::Shared::default());
+    let (sender, updates) = mpsc::channel(UPDATES);
+    let sources = Sources {
+        reader: reader.clone(),
+        prefix: adapter.vocabulary.prefix.to_owned(),
+        pace: Pace {
+            wait: settings.notice().saturating_sub(CALL_TIMEOUT),
+            wait_for_others: WAIT_FOR_OTHERS,
+            gather: settings.gather(),
+        },
+        me: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        seeds: settings.seeds.clone(),
+        log: log.clone(),
+    };
+    let registration = Registration {
+        reader,
+        member: Member {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers,
+        },
+        log: log.clone(),
+    };
+    tokio::spawn(replica::publish(listener, Arc::clone(&shared), log.clone()));
+    tokio::spawn(replica::follow(sources, shared, sender));
+    tokio::spawn(replica::register(registration));
+    Ok(updates)
+}
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -61,10 +61,17 @@
     pub tag: Tag,
 }
 
-/// Index of a server in the directory; stays valid until it is forgotten.
+/// Index of a server in the directory; stays valid until it is forgotten, which
+/// is later than any of its flows is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Slot(u32);
 
+impl Slot {
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// What is known about a server.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -110,11 +117,12 @@
 /// All servers known.
 #[derive(Debug)]
 pub struct Directory {
-    records: HashMap<Slot, Record>,
+    /// Records by slot; a slot is used again after its server is forgotten.
+    records: Vec<Option<Record>>,
+    free: Vec<Slot>,
     by_id: HashMap<id::Server, Slot>,
     by_tag: HashMap<Tag, Slot>,
     by_service: HashMap<id::Service, Vec<Slot>>,
-    next: u32,
     /// How long a server that is gone stays known.
     keep: Duration,
     /// Since when the store has answered without a break; `None` during one.
@@ -125,11 +133,11 @@
     /// An empty directory that knows past servers for this long.
     pub fn new(keep: Duration) -> Self {
         Self {
-            records: HashMap::new(),
+            records: Vec::new(),
+            free: Vec::new(),
             by_id: HashMap::new(),
             by_tag: HashMap::new(),
             by_service: HashMap::new(),
-            next: 0,
             keep,
             contact_since: None,
         }
@@ -140,11 +148,12 @@
         let Some(slot) = self.by_id.get(&server.id).copied() else {
             return self.insert(now, server);
         };
-        if self.records[&slot].server.service != server.service {
+        let known = self.get(slot).map(|record| &record.server.service);
+        if known.is_some_and(|service| *service != server.service) {
             self.unlist(slot);
             self.list(slot, server.service.clone());
         }
-        let Some(record) = self.records.get_mut(&slot) else {
+        let Some(record) = self.get_mut(slot) else {
             return;
         };
         record.missing_since = None;
@@ -154,8 +163,10 @@
     }
 
     fn insert(&mut self, now: Instant, server: Server) {
-        let slot = Slot(self.next);
-        self.next += 1;
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.records.push(None);
+            Slot(self.records.len() as u32 - 1)
+        });
         let tag = Tag::of(server.serial);
         // The older server keeps the tag: its flows carry it already. Packets
         // of the later one would reach the wrong server, so it gets no flows.
@@ -176,13 +187,13 @@
             has_doubled_tag,
             server,
         };
-        self.records.insert(slot, record);
+        self.records[slot.index()] = Some(record);
     }
 
     /// Takes in that a server's entry is gone.
     pub fn remove(&mut self, now: Instant, id: &id::Server) {
-        let slot = self.by_id.get(id);
-        if let Some(record) = slot.and_then(|slot| self.records.get_mut(slot)) {
+        let slot = self.by_id.get(id).copied();
+        if let Some(record) = slot.and_then(|slot| self.get_mut(slot)) {
             record.missing_since.get_or_insert(now);
         }
     }
@@ -220,7 +231,7 @@
     /// as gone when it stayed away for [`RETURN_BOUND`] of unbroken contact with
     /// the store and nothing has come from the server since.
     pub(crate) fn gone_since(&self, slot: Slot, now: Instant) -> Option<Instant> {
-        let record = self.records.get(&slot)?;
+        let record = self.get(slot)?;
         let missing = record.missing_since?;
         let proof_from = missing.max(self.contact_since?);
         let has_answered = record.evidence.last_alive() > Some(missing);
@@ -232,17 +243,16 @@
     pub fn forget(&mut self, now: Instant) {
         let keep = self.keep;
         let is_over = |record: &Record| record.missing_since.is_some_and(|s| now >= s + keep);
-        let over: Vec<Slot> = self
-            .records
-            .iter()
-            .filter(|(_, record)| is_over(record))
-            .map(|(slot, _)| *slot)
+        let over: Vec<Slot> = (0..self.records.len() as u32)
+            .map(Slot)
+            .filter(|slot| self.get(*slot).is_some_and(is_over))
             .collect();
         for slot in over {
             self.unlist(slot);
-            let Some(record) = self.records.remove(&slot) else {
+            let Some(record) = self.records[slot.index()].take() else {
                 continue;
             };
+            self.free.push(slot);
             self.by_id.remove(&record.server.id);
             if self.by_tag.get(&record.tag) == Some(&slot) {
                 self.by_tag.remove(&record.tag);
@@ -255,10 +265,11 @@
     }
 
     fn unlist(&mut self, slot: Slot) {
-        let Some(record) = self.records.get(&slot) else {
+        let Some(record) = self.get(slot) else {
             return;
         };
-        if let Some(slots) = self.by_service.get_mut(&record.server.service) {
+        let service = record.server.service.clone();
+        if let Some(slots) = self.by_service.get_mut(&service) {
             slots.retain(|other| *other != slot);
         }
     }
@@ -266,13 +277,13 @@
     /// Servers listed at this moment.
     pub fn listed(&self) -> usize {
         let is_listed = |record: &&Record| record.missing_since.is_none();
-        self.records.values().filter(is_listed).count()
+        self.records().filter(is_listed).count()
     }
 
     /// Flows and requests counted at all servers.
     pub fn load(&self) -> u64 {
         let of = |record: &Record| u64::from(record.flows) + u64::from(record.outstanding);
-        self.records.values().map(of).sum()
+        self.records().map(of).sum()
     }
 
     pub(crate) fn by_tag(&self, tag: Tag) -> Option<Slot> {
@@ -284,15 +295,15 @@
     }
 
     pub(crate) fn get(&self, slot: Slot) -> Option<&Record> {
-        self.records.get(&slot)
+        self.records.get(slot.index())?.as_ref()
     }
 
     pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut Record> {
-        self.records.get_mut(&slot)
+        self.records.get_mut(slot.index())?.as_mut()
     }
 
     pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
-        self.records.values()
+        self.records.iter().flatten()
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod server;
 pub mod settings;
 mod shared;
+pub mod signal;
 mod sink;
 pub mod snapshot;
 pub mod status;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -168,7 +168,7 @@
     pub resolve_within: Duration,
     /// Delays between tries.
     pub backoff: pacing::Bounds,
-    /// Time between the probes of [`follow`].
+    /// Time between the probes of [`follow()`].
     pub probe_every: Duration,
     /// Allowance of reads, watches included.
     pub reads: Rate,
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -200,7 +200,7 @@
     /// The first batch is empty and tells that the watch stands. The stream ends
     /// with its first error; a watch that is closed is one too. A watch whose
     /// connection went silent gives no error, which is why
-    /// [`crate::platform::follow`] probes.
+    /// [`crate::platform::follow()`] probes.
     pub fn watch(
         &self,
         prefix: &str,
