--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -66,7 +66,15 @@
 ) -> Option<Choice> {
     let mut candidates = 0;
     let mut best: Option<(f64, Slot)> = None;
-    for slot in directory.of_service(question.service) {
+    let slots = directory.of_service(question.service);
+    if slots.is_empty() {
+        return None;
+    }
+    // Ties go to the first one seen, so that the start has to be random, or all
+    // instances fill the same server.
+    let start = random.random_range(0..slots.len());
+    let (before, after) = slots.split_at(start);
+    for slot in after.iter().chain(before) {
         let Some(record) = directory.get(*slot) else {
             continue;
         };
@@ -74,9 +82,7 @@
             continue;
         }
         candidates += 1;
-        // A tie is broken at random, or all instances fill the same server.
-        let jitter: f64 = random.random_range(0.0..0.01);
-        let load = load(record, question) + jitter;
+        let load = load(record, question);
         if best.is_none_or(|(least, _)| load < least) {
             best = Some((load, *slot));
         }
