Log an HTTP port that fails; test silence of the store after the last answer

silence_of_the_store_proves_no_server_gone stayed green without its safeguard (the entry went missing before the flow's last answer, which alone shows that the server lives); it now goes missing after it and turns red without.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -13,6 +13,8 @@
 use axum::response::IntoResponse;
 use axum::routing::get;
 use serde::Serialize;
+use slog::Logger;
+use slog::error;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -67,6 +69,7 @@
     ready: SocketAddrV4,
     metrics: SocketAddrV4,
     shared: Arc<Shared>,
+    log: &Logger,
 ) -> Result<()> {
     let routers = Router::new()
         .route("/ready", get(tell_ready))
@@ -77,11 +80,17 @@
         .with_state(shared);
     let first = listen(ready).await?;
     let second = listen(metrics).await?;
-    tokio::spawn(async move { axum::serve(first, routers).await });
-    tokio::spawn(async move { axum::serve(second, operators).await });
+    tokio::spawn(keep(first, routers, log.clone()));
+    tokio::spawn(keep(second, operators, log.clone()));
     Ok(())
 }
 
+async fn keep(listener: TcpListener, router: Router, log: Logger) {
+    if let Err(error) = axum::serve(listener, router).await {
+        error!(log, "HTTP port failed"; "error" => %error);
+    }
+}
+
 async fn listen(address: SocketAddrV4) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -77,7 +77,7 @@
         questions,
     });
     let socket = Socket::bind(settings.packets, adapter.codec).await?;
-    http::serve(settings.ready, settings.metrics, Arc::clone(&shared)).await?;
+    http::serve(settings.ready, settings.metrics, Arc::clone(&shared), &log).await?;
     let mut updates = start::follow(&settings, &adapter, reader, &log).await?;
     info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
         "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -104,6 +104,7 @@
         self.heard.is_some_and(|heard| heard >= opening.sent)
     }
 
+    /// Gives the server the same time again: its silence proves nothing yet.
     pub(super) fn postpone(&mut self, now: Instant, pair: Pair) {
         let wait = self.round_trip.wait();
         let Some(flow) = self.table.flows.get_mut(&pair) else {
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::id;
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::platform::poll::Refusal;
@@ -48,7 +49,7 @@
     /// Changes come from here from now on.
     Source {
         /// The instance; `None` for the store itself.
-        upstream: Option<crate::id::Instance>,
+        upstream: Option<id::Instance>,
     },
 }
 
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -17,6 +17,7 @@
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::platform::poll::Reader;
+use crate::platform::poll::Refusal;
 use crate::replica::Member;
 use crate::replica::Pace;
 use crate::replica::Shared;
@@ -295,7 +296,7 @@
     async fn reset(
         &mut self,
         entries: Vec<Entry>,
-        refused: Vec<crate::platform::poll::Refusal>,
+        refused: Vec<Refusal>,
         revision: u64,
     ) -> Result<(), End> {
         if !self.shared.reset(&entries, revision) {
--- a/tests/flow/gone.rs
+++ b/tests/flow/gone.rs
@@ -71,8 +71,9 @@
     let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
     let caller = Caller::new(1, BOOKINGS);
     let target = open(&mut plane, now, &caller);
-    plane.learn(now, Belief::Gone("s-1".parse().unwrap()));
-    plane.learn(now + ms(10), Belief::Contact(false));
+    // After the last answer, which alone would show that it lives.
+    plane.learn(now + ms(100), Belief::Gone("s-1".parse().unwrap()));
+    plane.learn(now + ms(110), Belief::Contact(false));
     let verdict = plane.receive(now + ms(9_000), &caller.data(0, target.tag), b"");
     assert_eq!(forwarded(verdict), target);
     plane.learn(now + ms(9_000), Belief::Contact(true));
