Group settings, metrics, burn report and peers in folders; one platform client

Cause: four circles between modules and a row of sixty files. Settings and their checks, metrics and their collector, the burn report's parts, and what goes between peers each have a folder with a root; what the control task is told stands in a module of its own, so that the receivers no longer need the task; a rate's text has the standard library's error. A reader of a store that answers long polls is a client with a dialect, where both had a constructor and accessors of their own. Ruled out: moving server, balance and budget, which stand alone.

--- a/src/burn.rs
+++ b/src/burn.rs
@@ -14,6 +14,11 @@
 //! again are not counted. An answer counts by its latency alone, since its
 //! contents are opaque here.
 
+mod chart;
+mod merge;
+pub mod report;
+mod window;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::mem::size_of;
@@ -24,21 +29,21 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::burn::window::Ring;
 use crate::document::Objective;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
 use crate::request::Outcome;
-use crate::window::Ring;
-
-pub use crate::merge::Figure;
-pub use crate::merge::Gap;
-pub use crate::merge::Heard;
-pub use crate::merge::Line;
-pub use crate::merge::Report;
-pub use crate::merge::Verdict;
-pub use crate::window::Count;
-pub use crate::window::Window;
+
+pub use crate::burn::merge::Figure;
+pub use crate::burn::merge::Gap;
+pub use crate::burn::merge::Heard;
+pub use crate::burn::merge::Line;
+pub use crate::burn::merge::Report;
+pub use crate::burn::merge::Verdict;
+pub use crate::burn::window::Count;
+pub use crate::burn::window::Window;
 
 /// Memory of the windows of one service, in bytes; its name comes on top.
 pub const STATE_BYTES: usize = buckets() * size_of::<Count>() + size_of::<Windows>();
--- a/src/chart.rs
+++ b/src/burn/chart.rs
@@ -6,14 +6,14 @@
 use plotters::prelude::*;
 
 use crate::burn::Rate;
+use crate::burn::merge::Figure;
+use crate::burn::merge::Line;
+use crate::burn::merge::Report;
+use crate::burn::window::Window;
 use crate::document::Objective;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
-use crate::merge::Figure;
-use crate::merge::Line;
-use crate::merge::Report;
-use crate::window::Window;
 
 /// Size of the plot, in pixels.
 const SIZE: (u32, u32) = (960, 540);
--- a/src/merge.rs
+++ b/src/burn/merge.rs
@@ -9,10 +9,10 @@
 use crate::burn::Rate;
 use crate::burn::Sample;
 use crate::burn::Tally;
+use crate::burn::window::Count;
+use crate::burn::window::Window;
 use crate::document::Objective;
 use crate::id;
-use crate::window::Count;
-use crate::window::Window;
 
 /// What is to be done about a service, the least urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,9 +18,9 @@
 use tokio::time::Instant;
 
 use crate::id;
-use crate::member::Member;
-use crate::member::View;
 use crate::peer;
+use crate::peer::member::Member;
+use crate::peer::member::View;
 use crate::platform::Entry;
 use crate::table::Document;
 use crate::table::ROWS_PER_DOCUMENT;
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -14,8 +14,8 @@
 use super::Control;
 use super::Joining;
 use crate::id;
-use crate::member::Member;
-use crate::member::View;
+use crate::peer::member::Member;
+use crate::peer::member::View;
 use crate::table::ROWS_PER_DOCUMENT;
 use crate::table::Row;
 
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -16,12 +16,12 @@
 use crate::error::Result;
 use crate::event::Event;
 use crate::id;
+use crate::inbox::Told;
 use crate::peer;
 use crate::peer::Body;
 use crate::reason::Reason;
 use crate::request::Flow;
 use crate::shared::Shared;
-use crate::steer::Told;
 use crate::worker::Input;
 
 /// Largest datagram that UDP can carry, in bytes.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -33,7 +33,7 @@
 use crate::budget::Budget;
 use crate::event::Event;
 use crate::id;
-use crate::member::View;
+use crate::peer::member::View;
 use crate::reason::Reason;
 use crate::record::FeedKey;
 use crate::record::Park;
--- a/src/entry/checks.rs
+++ b/src/entry/checks.rs
@@ -1,9 +1,9 @@
 //! Checks of an entry instance's settings that go beyond one field's form.
 
-use crate::checks::Check;
-use crate::checks::range;
-use crate::checks::refuse;
 use crate::entry::Settings;
+use crate::settings::checks::Check;
+use crate::settings::checks::range;
+use crate::settings::checks::refuse;
 
 /// Longest time that a store may be silent unnoticed, in milliseconds.
 const MOST_NOTICE: u64 = 30_000;
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -12,9 +12,9 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::collector::Platform;
 use crate::flow;
-use crate::label::KindLabels;
+use crate::metric::collector::Platform;
+use crate::metric::label::KindLabels;
 use crate::platform::transport::Transport;
 
 /// Bounds of the handshake's buckets, in seconds: one round trip between caller
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -69,7 +69,7 @@
     let mut signals = Signals::new()?;
     let reader = start::reader(&settings, &adapter)?;
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
-    let metrics = Metrics::new(reader.transport());
+    let metrics = Metrics::new(reader.client().transport());
     metrics.prepare();
     let shared = Arc::new(Shared {
         is_ready: AtomicBool::new(false),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -9,11 +9,11 @@
 use crate::entry::checks;
 use crate::error::Result;
 use crate::id;
-use crate::jsonc::Source;
 use crate::platform::Base;
 use crate::platform::allowance::Rate;
 use crate::settings;
 use crate::settings::Log;
+use crate::settings::jsonc::Source;
 
 /// The store and this instance's share of it.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -17,6 +17,7 @@
 use crate::flow::Options;
 use crate::pacing;
 use crate::platform;
+use crate::platform::Client;
 use crate::poll::Reader;
 use crate::replica;
 use crate::replica::Member;
@@ -78,7 +79,8 @@
         seed: seed(settings),
         ..platform::Options::default()
     };
-    Reader::new(settings.store.addresses.clone(), options, adapter.dialect)
+    let client = Client::new(settings.store.addresses.clone(), options)?;
+    Ok(Reader::new(client, adapter.dialect))
 }
 
 /// Starts what keeps the copy of the store, and what passes it on.
--- a/src/event.rs
+++ b/src/event.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use crate::id;
-use crate::member::View;
 use crate::peer;
+use crate::peer::member::View;
 use crate::request::Answer;
 use crate::request::Flow;
 use crate::request::Receipt;
--- /dev/null
+++ b/src/inbox.rs
@@ -0,0 +1,24 @@
+//! What other tasks tell the control task.
+
+use crate::control::Written;
+use crate::id;
+use crate::peer;
+use crate::platform::Update;
+
+/// What the control task is told.
+#[derive(Debug)]
+pub(crate) enum Told {
+    /// From the platform, about one prefix.
+    Platform(&'static str, Update),
+    /// A peer's sign of life.
+    Heartbeat {
+        from: id::Holder,
+        message: peer::Heartbeat,
+    },
+    /// A home wants its backup to take over.
+    Yield { from: id::Holder, slices: Vec<u32> },
+    /// A write of the slice table has ended.
+    Written { document: u32, written: Written },
+    /// A peer's copies.
+    Pulled(peer::Push),
+}
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -6,6 +6,9 @@
 //! lock here, around the services seen, is a leaf: nothing else is locked while
 //! it is held.
 
+pub(crate) mod collector;
+pub(crate) mod label;
+
 use std::collections::HashSet;
 use std::fmt;
 use std::sync::PoisonError;
@@ -22,17 +25,17 @@
 use prometheus_client::registry::Unit;
 
 use crate::action::Note;
-use crate::collector::Platform;
 use crate::id;
-use crate::label::EventLabels;
-use crate::label::KindLabels;
-use crate::label::PeerLabels;
-use crate::label::Service;
-use crate::label::ServiceLabels;
+use crate::metric::collector::Platform;
+use crate::metric::label::EventLabels;
+use crate::metric::label::KindLabels;
+use crate::metric::label::PeerLabels;
+use crate::metric::label::Service;
+use crate::metric::label::ServiceLabels;
 use crate::platform::Client;
 use crate::reason::Reason;
 
-pub use crate::label::Direction;
+pub use crate::metric::label::Direction;
 
 /// Services that get a label of their own.
 pub const MAX_SERVICES: usize = 256;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,6 +3,10 @@
 //! The structs carry their own `prost` derivations, so the build needs no
 //! generator. Field numbers are part of the protocol: never reuse one.
 
+pub(crate) mod link;
+pub mod member;
+pub mod wire;
+
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
--- a/src/link.rs
+++ b/src/peer/link.rs
@@ -31,21 +31,21 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
-use crate::member::View;
 use crate::metric::Direction;
 use crate::metric::Metrics;
 use crate::peer::Body;
 use crate::peer::Heartbeat;
 use crate::peer::Pull;
 use crate::peer::Push;
+use crate::peer::member::View;
+use crate::peer::wire;
+use crate::peer::wire::Envelope;
+use crate::peer::wire::Frame;
+use crate::peer::wire::Guard;
+use crate::peer::wire::Keys;
+use crate::peer::wire::MAX_FRAME;
 use crate::platform::allowance::Bucket;
 use crate::platform::allowance::Rate;
-use crate::wire;
-use crate::wire::Envelope;
-use crate::wire::Frame;
-use crate::wire::Guard;
-use crate::wire::Keys;
-use crate::wire::MAX_FRAME;
 
 /// Time for one exchange of configuration with a peer.
 const PULL_TIMEOUT: Duration = Duration::from_secs(3);
--- a/src/platform/allowance.rs
+++ b/src/platform/allowance.rs
@@ -4,15 +4,13 @@
 //! would only hide the overload until its caller has given up.
 
 use std::fmt;
+use std::num::ParseIntError;
 use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::error::Error;
-use crate::error::Result;
-
 /// Something counted per second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -25,14 +23,10 @@
 }
 
 impl FromStr for Rate {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self> {
-        let count = text.strip_suffix("/s").unwrap_or(text);
-        count.parse().map(Self).map_err(|_| Error::Number {
-            kind: "rate",
-            value: text.to_owned(),
-        })
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.strip_suffix("/s").unwrap_or(text).parse().map(Self)
     }
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -54,6 +54,10 @@
         self.transport.options()
     }
 
+    pub(crate) async fn call<T>(&self, call: &Call, decode: fn(&[u8]) -> Decoded<T>) -> Result<T> {
+        self.transport.call(call, decode).await
+    }
+
     pub(crate) fn count_stale(&self) {
         add(&self.transport.counts().stale);
     }
--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -3,21 +3,17 @@
 //! How such a store spells its calls is a value, [`Dialect`]; timeouts, the
 //! allowance and the counts are those of every call to the platform.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::error::Result;
-use crate::platform::Base;
 use crate::platform::Change;
-use crate::platform::Counts;
+use crate::platform::Client;
 use crate::platform::Entry;
 use crate::platform::Lease;
-use crate::platform::Options;
 use crate::platform::gateway::Decoded;
 use crate::platform::transport::Call;
 use crate::platform::transport::Kind;
 use crate::platform::transport::Payload;
-use crate::platform::transport::Transport;
 
 /// A key whose value cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,32 +81,19 @@
 /// Reader of a store, cheap to clone.
 #[derive(Clone)]
 pub struct Reader {
-    transport: Arc<Transport>,
+    client: Client,
     dialect: Dialect,
 }
 
 impl Reader {
-    /// A reader of the store behind these addresses.
-    ///
-    /// # Errors
-    ///
-    /// Fails when there is no address or the HTTP client cannot be set up.
-    pub fn new(bases: Vec<Base>, options: Options, dialect: Dialect) -> Result<Self> {
-        let transport = Arc::new(Transport::new(bases, options)?);
-        Ok(Self { transport, dialect })
-    }
-
-    /// How many calls were made and how they ended.
-    pub fn counts(&self) -> &Counts {
-        self.transport.counts()
-    }
-
-    pub(crate) fn transport(&self) -> Arc<Transport> {
-        Arc::clone(&self.transport)
+    /// A reader of the client's store.
+    pub fn new(client: Client, dialect: Dialect) -> Self {
+        Self { client, dialect }
     }
 
-    pub(crate) fn options(&self) -> &Options {
-        self.transport.options()
+    /// What makes the calls.
+    pub fn client(&self) -> &Client {
+        &self.client
     }
 
     /// Reads one page of a prefix, after a key if one is given.
@@ -126,7 +109,7 @@
             body: None,
             wait: Duration::ZERO,
         };
-        self.transport.call(&call, self.dialect.page).await
+        self.client.call(&call, self.dialect.page).await
     }
 
     /// Waits for changes under a prefix after a revision.
@@ -143,7 +126,7 @@
             body: None,
             wait,
         };
-        self.transport.call(&call, self.dialect.batch).await
+        self.client.call(&call, self.dialect.batch).await
     }
 
     /// Grants a lease.
@@ -155,7 +138,7 @@
     pub async fn grant(&self, ttl: Duration) -> Result<Lease> {
         let post = (self.dialect.grant)(ttl);
         let call = posted("lease grant", Kind::Lease, post);
-        self.transport.call(&call, self.dialect.lease).await
+        self.client.call(&call, self.dialect.lease).await
     }
 
     /// Writes a key that goes with a lease.
@@ -168,7 +151,7 @@
     pub async fn put(&self, key: &str, value: &[u8], lease: Lease) -> Result<()> {
         let post = (self.dialect.put)(key, value, lease);
         let call = posted("put", Kind::Write, post);
-        self.transport.call(&call, |_| Ok(())).await
+        self.client.call(&call, |_| Ok(())).await
     }
 
     /// Renews a lease.
@@ -180,7 +163,7 @@
     pub async fn renew(&self, lease: Lease) -> Result<()> {
         let post = (self.dialect.renew)(lease);
         let call = posted("lease renewal", Kind::Lease, post);
-        self.transport.call(&call, |_| Ok(())).await
+        self.client.call(&call, |_| Ok(())).await
     }
 }
 
--- a/src/query/burn.rs
+++ b/src/query/burn.rs
@@ -4,10 +4,10 @@
 
 use crate::burn::Gap;
 use crate::burn::Report;
+use crate::burn::report;
 use crate::error::Result;
 use crate::fleet::Fleet;
 use crate::query::status;
-use crate::report;
 
 /// Asks every instance for its counts and merges them.
 ///
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -95,7 +95,7 @@
 
 /// Keeps the copy up to date until the receiver is dropped.
 pub(crate) async fn follow(sources: Sources, shared: Arc<Shared>, sender: mpsc::Sender<Update>) {
-    let options = sources.reader.options().clone();
+    let options = sources.reader.client().options().clone();
     let mut follower = Follower {
         sources,
         shared,
--- a/src/replica/register.rs
+++ b/src/replica/register.rs
@@ -56,7 +56,7 @@
 
 /// Keeps an instance registered until the process ends.
 pub(crate) async fn register(registration: Registration) {
-    let options = registration.reader.options().clone();
+    let options = registration.reader.client().options().clone();
     let mut backoff = Backoff::new(options.backoff, options.seed);
     loop {
         match registration.hold(&mut backoff).await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,9 @@
 //! so that a daemon either runs with what was written or says which field of
 //! which line it refuses.
 
+pub(crate) mod checks;
+pub(crate) mod jsonc;
+
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -14,14 +17,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::checks;
 use crate::document;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id;
-use crate::jsonc::Source;
 use crate::platform::Base;
 use crate::platform::allowance::Rate;
+use crate::settings::jsonc::Source;
 
 pub use crate::key::Key;
 
--- a/src/checks.rs
+++ b/src/settings/checks.rs
@@ -4,8 +4,8 @@
 
 use crate::document;
 use crate::id::Endpoint;
-use crate::jsonc::Refusal;
 use crate::settings::Daemon;
+use crate::settings::jsonc::Refusal;
 
 /// Fewest slices; below, one slice is too large a share of the traffic.
 const MIN_SLICES: u64 = 16;
--- a/src/steer.rs
+++ b/src/steer.rs
@@ -28,6 +28,7 @@
 use crate::edge;
 use crate::event::Event;
 use crate::id;
+use crate::inbox::Told;
 use crate::peer;
 use crate::peer::Body;
 use crate::platform;
@@ -44,24 +45,6 @@
 /// Time between two looks of the planner.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
 
-/// What the control task is told.
-#[derive(Debug)]
-pub(crate) enum Told {
-    /// From the platform, about one prefix.
-    Platform(&'static str, Update),
-    /// A peer's sign of life.
-    Heartbeat {
-        from: id::Holder,
-        message: peer::Heartbeat,
-    },
-    /// A home wants its backup to take over.
-    Yield { from: id::Holder, slices: Vec<u32> },
-    /// A write of the slice table has ended.
-    Written { document: u32, written: Written },
-    /// A peer's copies.
-    Pulled(peer::Push),
-}
-
 /// The control task's own state, beside what is shared.
 pub(crate) struct Steer {
     shared: Arc<Shared>,
--- a/src/steer/heartbeat.rs
+++ b/src/steer/heartbeat.rs
@@ -14,10 +14,10 @@
 use tokio::time::Instant;
 
 use crate::id;
+use crate::inbox::Told;
 use crate::peer;
 use crate::peer::Body;
 use crate::steer::Steer;
-use crate::steer::Told;
 
 /// How long a peer's copy may differ before it is asked for what is newer. A
 /// change that the platform is just telling everyone needs no copy.
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -31,7 +31,7 @@
 use crate::error::Result;
 use crate::event::Event;
 use crate::id;
-use crate::link::Link;
+use crate::peer::link::Link;
 use crate::table;
 
 /// Events that may wait for a worker; what comes beyond is dropped like on a wire.
