Soak: two zones, and links between instances that can be harmed

Cause: the soak had one zone and harmed only links to the store, so that what instances pass on to each other was never late, cut or silenced on its way. Change: instances, servers and callers in two zones; each instance is found by others through a link of the soak's, which a new kind of fault harms while its subscribers' promises stay in force; the product can be told the address that others are to use (peers_advertised), as behind any relay.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -60,7 +60,7 @@
     /// The ledger.
     pub ledger: Arc<Ledger>,
     /// Next identity of a request.
-    pub requests: AtomicU64,
+    pub requests: Arc<AtomicU64>,
 }
 
 /// What a caller's socket gets, by the caller's port.
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -25,6 +25,8 @@
     Reload(u8),
     /// The link between an instance and the store is harmed.
     Link(u8, Harm, u64),
+    /// The links of other instances to one are harmed.
+    Peers(u8, Harm, u64),
     /// The store misbehaves.
     Store(Mode, u64),
     /// The store is away, and the servers' entries lapse meanwhile.
@@ -87,7 +89,7 @@
 fn kind(random: &mut SmallRng) -> Kind {
     let who = random.random_range(0..64);
     let ms = random.random_range(500..5_000);
-    match random.random_range(0..20) {
+    match random.random_range(0..22) {
         0 | 1 => Kind::Stop(who),
         2 | 3 => Kind::Kill(who),
         4 => Kind::KillAll,
@@ -101,7 +103,8 @@
         16 => Kind::Crash(who),
         17 => Kind::Drain(who),
         18 => Kind::Route,
-        _ => Kind::Storm(random.random_range(2..8)),
+        19 => Kind::Storm(random.random_range(2..8)),
+        _ => Kind::Peers(who, harm(random), ms),
     }
 }
 
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -1,4 +1,4 @@
-//! A TCP link between an instance and the store that can be harmed.
+//! A TCP link that can be harmed, from an instance to the store or to another one.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -40,7 +40,7 @@
 }
 
 impl Link {
-    /// A link from an address to the store.
+    /// A link from an address to another one.
     ///
     /// # Errors
     ///
--- a/soak/src/net.rs
+++ b/soak/src/net.rs
@@ -49,9 +49,19 @@
         SocketAddrV4::new(Ipv4Addr::new(127, self.block, 3, number), self.port)
     }
 
-    /// Address of the store, and of the links to it.
-    pub fn store(&self, link: u8) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 4, link), self.port)
+    /// Address of the store.
+    pub fn store(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 4, 1), self.port)
+    }
+
+    /// Where an instance finds the store, by a link of its own.
+    pub fn store_link(&self, number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 5, number), self.port)
+    }
+
+    /// Where other instances find an instance, by a link.
+    pub fn peer_link(&self, number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 6, number), self.port)
     }
 }
 
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -49,12 +49,16 @@
     pub folder: PathBuf,
     /// Its name.
     pub name: String,
+    /// Its availability zone.
+    pub zone: String,
     /// Its address.
     pub address: Ipv4Addr,
     /// Port for packets.
     pub packets: u16,
     /// Its link to the store.
     pub store: SocketAddrV4,
+    /// Where other instances find it.
+    pub peers: SocketAddrV4,
     /// Instances to ask when the store does not answer.
     pub seeds: Vec<SocketAddrV4>,
 }
@@ -96,6 +100,11 @@
         self.setup.address
     }
 
+    /// Its availability zone.
+    pub fn zone(&self) -> &str {
+        &self.setup.zone
+    }
+
     /// Its name.
     pub fn name(&self) -> &str {
         &self.setup.name
@@ -193,11 +202,12 @@
     let seeds: Vec<String> = setup.seeds.iter().map(ToString::to_string).collect();
     let settings = json!({
         "instance": setup.name,
-        "zone": "zone-1",
+        "zone": setup.zone,
         "packets": at(setup.packets),
         "ready": at(READY),
         "metrics": at(STATUS),
         "peers": at(PEERS),
+        "peers_advertised": setup.peers.to_string(),
         "seeds": seeds,
         "store": { "addresses": [format!("http://{}", setup.store)] },
         "grace_ms": GRACE.as_millis() as u64,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -98,7 +98,10 @@
     store: Arc<Store>,
     ledger: Arc<Ledger>,
     instances: Vec<Arc<Instance>>,
+    /// Links to the store, by instance.
     links: Vec<Arc<Link>>,
+    /// Links of others to an instance, by instance.
+    peer_links: Vec<Arc<Link>>,
     backends: Mutex<Vec<Backend>>,
     /// Next number of a backend server's address, and of its serial.
     numbers: AtomicU64,
@@ -151,16 +154,18 @@
     async fn start(options: Options) -> Result<Self> {
         let plan = options.plan;
         let store = Arc::new(Store::default());
-        let address = plan.store(1);
+        let address = plan.store();
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| Error::Bind { address, source })?;
         tokio::spawn(store::serve(listener, Arc::clone(&store)));
         let mut links = Vec::new();
+        let mut peer_links = Vec::new();
         let mut instances = Vec::new();
         for number in 1..=options.size.instances {
-            let link = plan.store(100 + number);
-            links.push(Link::open(link, address).await?);
-            instances.push(Instance::start(setup(&options, number, link))?);
+            let peers = SocketAddrV4::new(plan.instance(number), process::PEERS);
+            links.push(Link::open(plan.store_link(number), address).await?);
+            peer_links.push(Link::open(plan.peer_link(number), peers).await?);
+            instances.push(Instance::start(setup(&options, number))?);
         }
         let world = Self {
             ledger: Arc::new(Ledger::default()),
@@ -172,6 +177,7 @@
             store,
             instances,
             links,
+            peer_links,
         };
         world.configure();
         for _ in 0..world.options.size.servers {
@@ -184,18 +190,12 @@
 
     async fn start_callers(&self) -> Result<()> {
         let plan = self.options.plan;
-        let addresses: Vec<Ipv4Addr> = self.instances.iter().map(|i| i.address()).collect();
-        let router = Router::new(&addresses, plan.port);
-        let probing = Arc::clone(&router);
-        tokio::spawn(probing.probe(process::READY, process::STATUS, Arc::clone(&self.ledger)));
-        let shared = Arc::new(caller::Shared {
-            router,
-            ledger: Arc::clone(&self.ledger),
-            requests: AtomicU64::new(1),
-        });
+        let requests = Arc::new(AtomicU64::new(1));
+        let zones = [2, 1].map(|number| self.start_router(zone(number), &requests));
         for number in 1..=self.options.size.callers {
+            let shared = &zones[usize::from(number % 2)];
             let address = SocketAddrV4::new(plan.caller(number), plan.port);
-            let host = Host::new(address, Arc::clone(&shared)).await?;
+            let host = Host::new(address, Arc::clone(shared)).await?;
             let seed = self.options.seed ^ u64::from(number);
             tokio::spawn(Arc::clone(&host).use_route(service(FEEDS), true, seed));
             tokio::spawn(host.use_route(service(BOOKINGS), false, seed));
@@ -203,6 +203,29 @@
         Ok(())
     }
 
+    /// The routers of a zone, and what its callers share. A zone without
+    /// instances uses those of all.
+    fn start_router(&self, zone: &str, requests: &Arc<AtomicU64>) -> Arc<caller::Shared> {
+        let all = || self.instances.iter();
+        let own: Vec<Ipv4Addr> = all()
+            .filter(|instance| instance.zone() == zone)
+            .map(|instance| instance.address())
+            .collect();
+        let addresses = if own.is_empty() {
+            all().map(|instance| instance.address()).collect()
+        } else {
+            own
+        };
+        let router = Router::new(&addresses, self.options.plan.port);
+        let probing = Arc::clone(&router);
+        tokio::spawn(probing.probe(process::READY, process::STATUS, Arc::clone(&self.ledger)));
+        Arc::new(caller::Shared {
+            router,
+            ledger: Arc::clone(&self.ledger),
+            requests: Arc::clone(requests),
+        })
+    }
+
     async fn add_server(&self, port: u16) -> Result<()> {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let identity = Identity {
@@ -252,6 +275,9 @@
             Kind::Reload(who) => self.signal(who, Signal::SIGHUP, Duration::ZERO),
             Kind::Freeze(who, ms) => self.freeze(who, Duration::from_millis(ms)).await,
             Kind::Link(who, harm, ms) => self.harm(who, harm, Duration::from_millis(ms)).await,
+            Kind::Peers(who, harm, ms) => {
+                self.harm_peers(who, harm, Duration::from_millis(ms)).await;
+            }
             Kind::Store(mode, ms) => self.disturb(mode, Duration::from_millis(ms)).await,
             Kind::Lapse(ms) => self.lapse(Duration::from_millis(ms)).await,
             Kind::Compact => self.store.compact(),
@@ -296,6 +322,15 @@
         self.ledger.disturb(instance.address(), AFTER);
     }
 
+    /// The instances that follow this one reach the store, so that no promise of
+    /// theirs is suspended.
+    async fn harm_peers(&self, who: u8, harm: Harm, for_: Duration) {
+        let link = &self.peer_links[usize::from(who) % self.peer_links.len()];
+        link.set(harm);
+        time::sleep(for_).await;
+        link.set(Harm::None);
+    }
+
     async fn disturb(&self, mode: Mode, for_: Duration) {
         self.ledger.disturb_store(for_ + AFTER);
         self.store.set_mode(mode);
@@ -392,17 +427,29 @@
     }
 }
 
-fn setup(options: &Options, number: u8, link: SocketAddrV4) -> Setup {
+fn setup(options: &Options, number: u8) -> Setup {
     let plan = options.plan;
-    let seed = |number| SocketAddrV4::new(plan.instance(number), process::PEERS);
     Setup {
         program: options.program.clone(),
         folder: options.folder.clone(),
         name: format!("entry-{number}"),
         address: plan.instance(number),
         packets: plan.port,
-        store: link,
-        seeds: (1..=options.size.instances.min(3)).map(seed).collect(),
+        zone: zone(number).to_owned(),
+        store: plan.store_link(number),
+        peers: plan.peer_link(number),
+        seeds: (1..=options.size.instances.min(3))
+            .map(|number| plan.peer_link(number))
+            .collect(),
+    }
+}
+
+/// Zone of an instance or a caller; even and odd ones differ.
+fn zone(number: u8) -> &'static str {
+    if number.is_multiple_of(2) {
+        "zone-2"
+    } else {
+        "zone-1"
     }
 }
 
@@ -427,7 +474,7 @@
     json!({
         "service": format!("service-{}", identity.port),
         "addr": identity.address.to_string(),
-        "zone": "zone-1",
+        "zone": zone((identity.serial % 2) as u8),
         "version": "v1",
         "slots": 4,
         "state": state,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -50,6 +50,9 @@
     pub metrics: SocketAddrV4,
     /// TCP address for other instances' subscriptions, bound here.
     pub peers: SocketAddrV4,
+    /// Where others find that address, if a relay stands before this instance.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddrV4>,
     /// Such addresses of some instances, to ask when the store does not answer
     /// at the start.
     #[serde(default)]
@@ -137,6 +140,11 @@
         }
     }
 
+    /// What other instances are told to subscribe to.
+    pub(crate) fn advertised(&self) -> SocketAddrV4 {
+        self.peers_advertised.unwrap_or(self.peers)
+    }
+
     pub(crate) fn notice(&self) -> Duration {
         Duration::from_millis(self.store.notice_ms)
     }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -116,7 +116,7 @@
         member: Member {
             instance: settings.instance.clone(),
             zone: settings.zone.clone(),
-            address: settings.peers,
+            address: settings.advertised(),
         },
         log: log.clone(),
     };
