godwitreel view: what an entry instance believes

Cause: the view of an entry instance was to be had by hand only, at its status address, without where its changes come from and when a server last answered. Change: the status is a public record with both; one asker for the tool's calls to instances; a command with a table and JSON; three tests drive it.

--- a/src/bin/godwitreel/app.rs
+++ b/src/bin/godwitreel/app.rs
@@ -62,6 +62,7 @@
     Burn {
         plot: Option<PathBuf>,
     },
+    View(id::Endpoint),
     Completions(Shell),
 }
 
@@ -194,6 +195,7 @@
     let report = report()
         .command("report")
         .help("Report on what was promised");
+    let view = view();
     let completions = completions();
     construct!([
         profile,
@@ -203,6 +205,7 @@
         status,
         explain,
         report,
+        view,
         completions,
     ])
 }
@@ -389,6 +392,13 @@
         .to_options()
 }
 
+fn view() -> impl Parser<Call> {
+    let address = positional("ADDRESS").help("Its status address, IP:PORT");
+    leaf(construct!(Action::View(address)))
+        .command("view")
+        .help("Show what an entry instance on the users' platform believes")
+}
+
 fn completions() -> impl Parser<Call> {
     let shell = positional::<Shell>("SHELL").help("bash, zsh or fish");
     leaf(shell.map(Action::Completions))
--- a/src/bin/godwitreel/exit.rs
+++ b/src/bin/godwitreel/exit.rs
@@ -13,7 +13,7 @@
  2  Refused: nothing was written; of a lost race both sides are shown.
  3  Unknown: a write got no answer and cannot be read back. It may stand or not.
  4  Partly: instances not heard from, or not there in time, are named.
- 5  Platform unreachable: nothing was written.";
+ 5  Platform unreachable, or the instance to view: nothing was written.";
 
 /// How the program ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,9 +35,10 @@
     /// written, so a call without an answer was a read.
     pub(crate) fn of(error: &Error) -> Self {
         match error {
-            Error::Unanswered { .. } | Error::Unreachable { .. } | Error::Exhausted { .. } => {
-                Self::Unreachable
-            }
+            Error::Unanswered { .. }
+            | Error::Unreachable { .. }
+            | Error::Busy { .. }
+            | Error::Exhausted { .. } => Self::Unreachable,
             Error::Refused { .. } | Error::Decode { .. } => Self::Refused,
             _ => Self::Usage,
         }
--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -46,6 +46,11 @@
         say(&app::script(shell));
         return Ok(Exit::Done);
     }
+    if let Action::View(address) = action {
+        let status = query::view::view(address, config.instance_timeout).await?;
+        print(config, &status, render::view);
+        return Ok(Exit::Done);
+    }
     let fleet = fleet(config)?;
     match action {
         Action::Profile(action) => profile(action, config, &fleet).await,
@@ -62,7 +67,7 @@
             Ok(Exit::whole(account.is_whole()))
         }
         Action::Burn { plot } => burn(config, &fleet, plot.as_deref()).await,
-        Action::Completions(_) => Ok(Exit::Done),
+        Action::View(_) | Action::Completions(_) => Ok(Exit::Done),
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,6 +15,7 @@
 mod signals;
 mod socket;
 mod start;
+mod status;
 mod stop;
 mod view;
 
@@ -25,3 +26,5 @@
 pub use adapter::Vocabulary;
 pub use run::run;
 pub use settings::Settings;
+pub use status::Server;
+pub use status::Status;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -12,48 +12,18 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::response::IntoResponse;
 use axum::routing::get;
-use serde::Serialize;
 use slog::Logger;
 use slog::error;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::entry::Status;
 use crate::entry::metric::Metrics;
 use crate::error::Error;
 use crate::error::Result;
-use crate::id;
 use crate::metric::CONTENT_TYPE as OPEN_METRICS;
 
-/// What an instance believes.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct Status {
-    pub(crate) instance: id::Instance,
-    pub(crate) zone: id::Zone,
-    pub(crate) is_ready: bool,
-    /// Version of the configuration.
-    pub(crate) version: u64,
-    pub(crate) flows: usize,
-    /// Time since the store last answered, in milliseconds.
-    pub(crate) contact_age_ms: Option<u64>,
-    pub(crate) servers: Vec<Server>,
-}
-
-/// What an instance believes about a backend server.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct Server {
-    pub(crate) server: id::Server,
-    pub(crate) service: id::Service,
-    pub(crate) zone: id::Zone,
-    pub(crate) is_draining: bool,
-    /// Time since its entry went missing, in milliseconds.
-    pub(crate) missing_ms: Option<u64>,
-    pub(crate) is_suspected: bool,
-    /// Requests of this instance in progress there.
-    pub(crate) outstanding: u32,
-    pub(crate) flows: u32,
-}
-
 /// Asks the task that holds the state.
 pub(crate) type Question = oneshot::Sender<Status>;
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -16,10 +16,11 @@
 use tokio::time::Instant;
 
 use crate::entry::Adapter;
+use crate::entry::Server;
 use crate::entry::Settings;
+use crate::entry::Status;
 use crate::entry::http;
 use crate::entry::http::Shared;
-use crate::entry::http::Status;
 use crate::entry::journal;
 use crate::entry::journal::Context;
 use crate::entry::journal::Journal;
@@ -36,6 +37,8 @@
 use crate::flow::Presence;
 use crate::flow::Timing;
 use crate::flow::Verdict;
+use crate::flow::directory::Record;
+use crate::id;
 use crate::replica::Update;
 
 /// Packets taken before anything else gets its turn.
@@ -57,6 +60,8 @@
     log: Logger,
     /// When the store last answered.
     contact: Option<Instant>,
+    /// Where changes come from; `None` for the store itself.
+    upstream: Option<id::Instance>,
     stop: Option<Stop>,
 }
 
@@ -89,6 +94,7 @@
         shared,
         log,
         contact: None,
+        upstream: None,
         stop: None,
         adapter,
         settings,
@@ -253,6 +259,7 @@
                 "revision" => revision, "view_age_ms" => self.contact_age_ms(now)),
             Update::Contact => self.contact = Some(now),
             Update::Source { upstream } => {
+                self.upstream.clone_from(upstream);
                 let upstream = upstream.as_ref().map(ToString::to_string);
                 info!(self.log, "source of changes"; "upstream" => upstream);
             }
@@ -311,22 +318,8 @@
 
     fn status(&self) -> Status {
         let now = Instant::now();
-        let directory = self.plane.directory();
-        let mut servers: Vec<_> = directory
-            .records()
-            .map(|record| http::Server {
-                server: record.server.id.clone(),
-                service: record.server.service.clone(),
-                zone: record.server.zone.clone(),
-                is_draining: record.server.presence == Presence::Draining,
-                missing_ms: record
-                    .missing_since
-                    .map(|since| (now - since).as_millis() as u64),
-                is_suspected: record.evidence.is_suspected(now),
-                outstanding: record.outstanding,
-                flows: record.flows,
-            })
-            .collect();
+        let records = self.plane.directory().records();
+        let mut servers: Vec<Server> = records.map(|record| server(record, now)).collect();
         servers.sort_by(|a, b| a.server.cmp(&b.server));
         Status {
             instance: self.settings.instance.clone(),
@@ -335,11 +328,28 @@
             version: self.plane.version(),
             flows: self.plane.flows(),
             contact_age_ms: self.contact_age_ms(now),
+            upstream: self.upstream.clone(),
             servers,
         }
     }
 }
 
+fn server(record: &Record, now: Instant) -> Server {
+    let age = |at: Instant| (now - at).as_millis() as u64;
+    Server {
+        server: record.server.id.clone(),
+        service: record.server.service.clone(),
+        zone: record.server.zone.clone(),
+        is_draining: record.server.presence == Presence::Draining,
+        missing_ms: record.missing_since.map(age),
+        is_suspected: record.evidence.is_suspected(now),
+        misses: record.evidence.misses(),
+        heard_ms: record.evidence.last_alive().map(age),
+        outstanding: record.outstanding,
+        flows: record.flows,
+    }
+}
+
 /// What a belief is about, for the log.
 fn describe(belief: &Belief) -> Option<(&'static str, String)> {
     match belief {
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,71 @@
+//! What an instance believes, as its status address tells it.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id;
+
+/// What an instance believes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The instance.
+    pub instance: id::Instance,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Whether routers are to send packets here.
+    pub is_ready: bool,
+    /// Version of the configuration, 0 before the first.
+    pub version: u64,
+    /// Flows remembered.
+    pub flows: usize,
+    /// Time since everything that the store knew was known here, in milliseconds.
+    pub contact_age_ms: Option<u64>,
+    /// The instance that changes come from; `None` for the store itself.
+    pub upstream: Option<id::Instance>,
+    /// The backend servers, those that are gone included.
+    pub servers: Vec<Server>,
+}
+
+/// What an instance believes about a backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    /// The server.
+    pub server: id::Server,
+    /// The service it runs.
+    pub service: id::Service,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Whether it said that it leaves.
+    pub is_draining: bool,
+    /// Time since its entry went missing, in milliseconds.
+    pub missing_ms: Option<u64>,
+    /// Whether new flows avoid it, since callers heard nothing from it.
+    pub is_suspected: bool,
+    /// Silences in a row.
+    pub misses: u32,
+    /// Time since it last answered a caller of this instance, in milliseconds.
+    pub heard_ms: Option<u64>,
+    /// Requests of this instance in progress there.
+    pub outstanding: u32,
+    /// Open flows of this instance.
+    pub flows: u32,
+}
+
+impl Server {
+    /// Its state in one word: what keeps new flows away, if anything does.
+    pub fn state(&self) -> &'static str {
+        match self {
+            Self {
+                missing_ms: Some(_),
+                ..
+            } => "missing",
+            Self {
+                is_draining: true, ..
+            } => "draining",
+            Self {
+                is_suspected: true, ..
+            } => "suspected",
+            _ => "ready",
+        }
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,28 +5,24 @@
 //! no answer is always named; leaving it out would make a part look like the
 //! whole.
 
+pub(crate) mod asker;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
-use reqwest::Response;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::control::Registration;
-use crate::error::Error;
 use crate::error::Result;
+use crate::fleet::asker::Asker;
 use crate::id;
 use crate::path;
 use crate::platform::Client;
 use crate::platform::Entry;
-use crate::platform::transport;
 
-/// Largest answer of an instance that is read, in bytes; a broken one must not
-/// fill the memory of the operator's machine.
-const MAX_ANSWER: usize = 4 << 20;
 /// Instances asked at the same time.
 const MAX_ASKED: usize = 32;
 
@@ -73,8 +69,7 @@
 #[derive(Clone)]
 pub struct Fleet {
     platform: Client,
-    http: reqwest::Client,
-    timeout: Duration,
+    asker: Asker,
     known: BTreeMap<id::Instance, id::Endpoint>,
 }
 
@@ -89,19 +84,9 @@
         known: BTreeMap<id::Instance, id::Endpoint>,
         timeout: Duration,
     ) -> Result<Self> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .build()
-            .map_err(|e| Error::Refused {
-                step: "instance client",
-                peer: "settings".to_owned(),
-                reason: e.to_string(),
-            })?;
         Ok(Self {
             platform,
-            http,
-            timeout,
+            asker: Asker::new(timeout)?,
             known,
         })
     }
@@ -131,7 +116,7 @@
     /// Asks every member for the same path.
     pub async fn ask<T: DeserializeOwned>(&self, members: &Members, path: &str) -> Gathered<T> {
         let asking = members.addresses.iter().map(async |(instance, address)| {
-            let answer = self.get(*address, path).await;
+            let answer = self.asker.get(*address, path).await;
             (instance.clone(), answer)
         });
         let answers: Vec<_> = stream::iter(asking)
@@ -157,24 +142,6 @@
         gathered.silent.sort_by(|a, b| a.instance.cmp(&b.instance));
         gathered
     }
-
-    async fn get<T: DeserializeOwned>(&self, address: id::Endpoint, path: &str) -> Result<T> {
-        let whole = async {
-            let response = self.http.get(format!("http://{address}{path}")).send();
-            let response = response
-                .await
-                .map_err(|e| silent(address, transport::root_cause(&e)))?;
-            let body = read_body(address, response).await?;
-            serde_json::from_slice(&body).map_err(|e| Error::Decode {
-                step: "answer",
-                peer: address.to_string(),
-                reason: e.to_string(),
-            })
-        };
-        tokio::time::timeout(self.timeout, whole)
-            .await
-            .unwrap_or_else(|_| Err(silent(address, "timed out")))
-    }
 }
 
 impl Members {
@@ -191,20 +158,3 @@
         }
     }
 }
-
-fn silent(address: id::Endpoint, reason: impl ToString) -> Error {
-    Error::Unanswered {
-        step: "ask instance",
-        peer: address.to_string(),
-        reason: reason.to_string(),
-    }
-}
-
-async fn read_body(address: id::Endpoint, response: Response) -> Result<Bytes> {
-    let status = response.status();
-    if !status.is_success() {
-        return Err(silent(address, status));
-    }
-    let body = transport::read_limited(response, MAX_ANSWER).await;
-    body.map_err(|reason| silent(address, reason))
-}
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -9,7 +9,7 @@
 //! verdicts and notes come out.
 
 mod choice;
-mod directory;
+pub(crate) mod directory;
 mod evidence;
 mod note;
 mod plane;
--- a/src/query.rs
+++ b/src/query.rs
@@ -9,3 +9,4 @@
 pub mod service;
 pub mod status;
 pub mod stored;
+pub mod view;
--- a/src/render.rs
+++ b/src/render.rs
@@ -17,6 +17,7 @@
 use crate::command::drain::Drain;
 use crate::document;
 use crate::document::Envelope;
+use crate::entry;
 use crate::error::Error;
 use crate::error::Result;
 use crate::fleet::Gathered;
@@ -107,6 +108,55 @@
     parts.join("\n")
 }
 
+/// What an entry instance believes: the instance first, then its servers.
+pub fn view(view: &entry::Status) -> String {
+    let mut head = new([
+        "instance",
+        "zone",
+        "ready",
+        "configuration",
+        "flows",
+        "age ms",
+        "from",
+    ]);
+    head.add_row([
+        view.instance.to_string(),
+        view.zone.to_string(),
+        yes_no(view.is_ready).to_owned(),
+        view.version.to_string(),
+        view.flows.to_string(),
+        optional(view.contact_age_ms),
+        view.upstream
+            .as_ref()
+            .map_or("store".to_owned(), ToString::to_string),
+    ]);
+    let mut servers = new([
+        "server",
+        "service",
+        "zone",
+        "state",
+        "missing ms",
+        "heard ms",
+        "misses",
+        "requests",
+        "flows",
+    ]);
+    for server in &view.servers {
+        servers.add_row([
+            server.server.to_string(),
+            server.service.to_string(),
+            server.zone.to_string(),
+            server.state().to_owned(),
+            optional(server.missing_ms),
+            optional(server.heard_ms),
+            server.misses.to_string(),
+            server.outstanding.to_string(),
+            server.flows.to_string(),
+        ]);
+    }
+    join([head.to_string(), servers.to_string()])
+}
+
 /// One document, a row for each field.
 pub fn envelope<T: Serialize>(envelope: &Envelope<T>) -> String {
     let mut table = new(["field", "value"]);
--- /dev/null
+++ b/tests/view.rs
@@ -0,0 +1,113 @@
+//! The tool's view of one entry instance, which answers as a real one does.
+
+use std::net::SocketAddr;
+
+use assert_cmd::assert::Assert;
+use assert_cmd::cargo::cargo_bin_cmd;
+use axum::Json;
+use axum::Router;
+use axum::routing::get;
+use godwitreel::entry::Server;
+use godwitreel::entry::Status;
+use predicates::prelude::*;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+fn server(name: &str) -> Server {
+    Server {
+        server: name.parse().unwrap(),
+        service: "dispatch".parse().unwrap(),
+        zone: "bole".parse().unwrap(),
+        is_draining: false,
+        missing_ms: None,
+        is_suspected: false,
+        misses: 0,
+        heard_ms: Some(12),
+        outstanding: 3,
+        flows: 40,
+    }
+}
+
+fn status() -> Status {
+    let draining = Server {
+        is_draining: true,
+        ..server("i-2")
+    };
+    let suspected = Server {
+        is_suspected: true,
+        misses: 2,
+        heard_ms: None,
+        ..server("i-3")
+    };
+    let missing = Server {
+        missing_ms: Some(2_700),
+        ..server("i-4")
+    };
+    Status {
+        instance: "edge-bole-1".parse().unwrap(),
+        zone: "bole".parse().unwrap(),
+        is_ready: true,
+        version: 17,
+        flows: 81,
+        contact_age_ms: Some(230),
+        upstream: Some("edge-bole-2".parse().unwrap()),
+        servers: vec![server("i-1"), draining, suspected, missing],
+    }
+}
+
+/// Serves an answer at an address of its own.
+async fn serve<T: serde::Serialize + Clone + Send + Sync + 'static>(answer: T) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::new().route("/status", get(move || async move { Json(answer.clone()) }));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+async fn view(address: SocketAddr, options: &'static [&'static str]) -> Assert {
+    let run = move || {
+        let mut command = cargo_bin_cmd!("godwitreel");
+        command.arg("view").arg(address.to_string()).args(options);
+        command.assert()
+    };
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_view_shows_what_an_instance_believes() {
+    let address = serve(status()).await;
+    let shown = |text| predicate::str::contains(text);
+    view(address, &[])
+        .await
+        .success()
+        .stdout(
+            shown("edge-bole-1")
+                .and(shown("edge-bole-2"))
+                .and(shown("17")),
+        )
+        .stdout(
+            shown("draining")
+                .and(shown("suspected"))
+                .and(shown("missing")),
+        );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_view_as_json_is_the_answer_itself() {
+    let address = serve(status()).await;
+    let assert = view(address, &["--output", "json"]).await.success();
+    let shown: Status = serde_json::from_slice(&assert.get_output().stdout).unwrap();
+    assert_eq!(shown, status());
+}
+
+// Nobody answers at the address, or something else does: the operator must not
+// take what is printed for an instance's view.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_view_of_nobody_or_of_something_else_fails() {
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    view(address, &[]).await.code(5);
+    let other = serve(Value::String("not an instance".to_owned())).await;
+    view(other, &[]).await.code(2);
+}
