Follow the store as soon as the platform's bounds ask, not 3 s alone

Ruled out: longer bounds; what they would save is few calls. Change: the platform's bounds are settings, and the least shrinks waits, ages and the pause in which changes gather. Also the soak: after a fault that may hide a change it makes one, the history goes while changes are missed, and callers try the route that comes and goes; before, nobody used that route, so that its promises were never checked.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -105,6 +105,20 @@
         }
     }
 
+    /// Opens flows to a route that comes and goes until the run ends. Which
+    /// configuration is in force shows in where they open; nothing is asked.
+    pub async fn try_route(self: Arc<Self>, service: SocketAddrV4, seed: u64) {
+        let mut random = SmallRng::seed_from_u64(seed);
+        loop {
+            let pause = random.random_range(100..600);
+            time::sleep(Duration::from_millis(pause)).await;
+            let deadline = Instant::now() + DEADLINE;
+            if let Ok(mut flow) = Flow::open(&self, service, deadline).await {
+                flow.finish().await;
+            }
+        }
+    }
+
     /// Sends a request, with retries where it may be repeated; gives back the
     /// flow if it goes on.
     async fn request(
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -31,7 +31,7 @@
     Store(Mode, u64),
     /// The store is away, and the servers' entries lapse meanwhile.
     Lapse(u64),
-    /// The store drops its history.
+    /// The store is silent while configurations change, and drops its history.
     Compact,
     /// The store ends all leases.
     Revoke,
@@ -83,12 +83,35 @@
             faults.push(Fault { at: again, kind });
             at = again.as_millis() as u64;
         }
+        if may_hide(kind) && random.random_range(0..2) == 0 {
+            let soon = Duration::from_millis(at + random.random_range(50..600));
+            let kind = change(&mut random);
+            faults.push(Fault { at: soon, kind });
+            at = soon.as_millis() as u64;
+        }
+    }
+}
+
+/// Whether others may not hear of a change meanwhile, so that one is worth making.
+fn may_hide(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::Kill(_) | Kind::Freeze(..) | Kind::Link(..) | Kind::Peers(..)
+    )
+}
+
+/// A change that must be in force everywhere within a bound.
+fn change(random: &mut SmallRng) -> Kind {
+    if random.random() {
+        Kind::Drain(random.random_range(0..64))
+    } else {
+        Kind::Route
     }
 }
 
 fn kind(random: &mut SmallRng) -> Kind {
     let who = random.random_range(0..64);
-    let ms = random.random_range(500..5_000);
+    let ms = random.random_range(500..6_000);
     match random.random_range(0..22) {
         0 | 1 => Kind::Stop(who),
         2 | 3 => Kind::Kill(who),
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -17,7 +17,7 @@
 
 /// Bound after which a draining server gets no new flows and a configuration is
 /// in force.
-const BOUND: Duration = Duration::from_secs(3);
+pub const BOUND: Duration = Duration::from_secs(3);
 
 /// How late a task of this process may run, on a machine that is busy too.
 const SLACK: Duration = Duration::from_millis(300);
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -59,6 +59,8 @@
     pub store: SocketAddrV4,
     /// Where other instances find it.
     pub peers: SocketAddrV4,
+    /// Time in which changes of the store must be in force.
+    pub bound: Duration,
     /// Instances to ask when the store does not answer.
     pub seeds: Vec<SocketAddrV4>,
 }
@@ -209,7 +211,10 @@
         "peers": at(PEERS),
         "peers_advertised": setup.peers.to_string(),
         "seeds": seeds,
-        "store": { "addresses": [format!("http://{}", setup.store)] },
+        "store": {
+            "addresses": [format!("http://{}", setup.store)],
+            "bounds_ms": [setup.bound.as_millis() as u64],
+        },
         "grace_ms": GRACE.as_millis() as u64,
     });
     let path = settings_path(setup);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -27,6 +27,7 @@
 use crate::fault;
 use crate::fault::Fault;
 use crate::fault::Kind;
+use crate::ledger::BOUND;
 use crate::ledger::Ledger;
 use crate::ledger::Summary;
 use crate::link::Harm;
@@ -198,6 +199,7 @@
             let host = Host::new(address, Arc::clone(shared)).await?;
             let seed = self.options.seed ^ u64::from(number);
             tokio::spawn(Arc::clone(&host).use_route(service(FEEDS), true, seed));
+            tokio::spawn(Arc::clone(&host).try_route(service(EXTRA), seed));
             tokio::spawn(host.use_route(service(BOOKINGS), false, seed));
         }
         Ok(())
@@ -280,7 +282,7 @@
             }
             Kind::Store(mode, ms) => self.disturb(mode, Duration::from_millis(ms)).await,
             Kind::Lapse(ms) => self.lapse(Duration::from_millis(ms)).await,
-            Kind::Compact => self.store.compact(),
+            Kind::Compact => self.compact().await,
             Kind::Revoke => self.store.revoke(),
             Kind::Crash(who) => self.crash(who).await,
             Kind::Drain(who) => self.drain(who).await,
@@ -361,6 +363,18 @@
         self.ledger.disturb_store(AFTER);
     }
 
+    /// Who polls is behind when the history goes, and has to notice.
+    async fn compact(&self) {
+        self.ledger.disturb_store(AFTER);
+        self.store.set_mode(Mode::Silent);
+        self.configure();
+        time::sleep(Duration::from_secs(1)).await;
+        self.configure();
+        self.store.compact();
+        self.store.set_mode(Mode::Up);
+        self.ledger.disturb_store(AFTER);
+    }
+
     /// Takes a server that may go: each route keeps one.
     async fn take_server(&self, who: u8) -> Option<Backend> {
         let mut backends = self.backends.lock().await;
@@ -437,6 +451,7 @@
         packets: plan.port,
         zone: zone(number).to_owned(),
         store: plan.store_link(number),
+        bound: BOUND,
         peers: plan.peer_link(number),
         seeds: (1..=options.size.instances.min(3))
             .map(|number| plan.peer_link(number))
--- a/src/entry/checks.rs
+++ b/src/entry/checks.rs
@@ -8,6 +8,10 @@
 /// Longest time that a store may be silent unnoticed, in milliseconds.
 const MOST_NOTICE: u64 = 30_000;
 
+/// Shortest time in which changes can be in force, in milliseconds: a silent
+/// upstream is noticed after 800, and a call in the store's slow hours takes 250.
+const LEAST_BOUND: u64 = 1_200;
+
 /// Longest pause in which changes gather, in milliseconds. Servers that drain
 /// must get no new flows 3 s after they said so.
 const MOST_GATHER: u64 = 2_000;
@@ -39,9 +43,18 @@
     let reads = u64::from(store.reads_per_second.0);
     range("store.reads_per_second", reads, 2, 1_000_000)
         .or_else(|| range("store.notice_ms", store.notice_ms, 100, MOST_NOTICE))
+        .or_else(|| bounds(&store.bounds_ms))
         .or_else(|| range("store.gather_ms", store.gather_ms, 0, MOST_GATHER))
 }
 
+fn bounds(bounds_ms: &[u64]) -> Check {
+    let mut checks = bounds_ms.iter().enumerate().map(|(place, bound)| {
+        let field = format!("store.bounds_ms[{place}]");
+        range(&field, *bound, LEAST_BOUND, MOST_NOTICE)
+    });
+    checks.find_map(|check| check)
+}
+
 fn spill(spill: f64) -> Check {
     if (0.0..=MOST_SPILL).contains(&spill) {
         return None;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -29,6 +29,10 @@
     /// can reach the instance.
     #[serde(default = "default_notice_ms")]
     pub notice_ms: u64,
+    /// Times in which changes of the store must be in force here, in
+    /// milliseconds; the least counts. 3 s when none is given.
+    #[serde(default)]
+    pub bounds_ms: Vec<u64>,
     /// Pause in which changes gather, in milliseconds.
     #[serde(default = "default_gather_ms")]
     pub gather_ms: u64,
@@ -149,6 +153,12 @@
         Duration::from_millis(self.store.notice_ms)
     }
 
+    /// The least time in which changes must be in force, if one is given.
+    pub(crate) fn bound(&self) -> Option<Duration> {
+        let least = self.store.bounds_ms.iter().min();
+        least.copied().map(Duration::from_millis)
+    }
+
     pub(crate) fn gather(&self) -> Duration {
         Duration::from_millis(self.store.gather_ms)
     }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -36,9 +36,23 @@
 /// 4 ms, in bad hours 250.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time in which changes must be in force, by which the following ones are meant;
+/// where the platform wants less, all shrink alike. Longer bounds change nothing,
+/// since what that would save is few calls.
+const USUAL_BOUND: Duration = Duration::from_millis(3_000);
+
+/// Age of the last contact with the store at which an upstream is left: changes
+/// must be in force within the bound also where only the upstream is cut off.
+/// Asking the store takes some milliseconds from there, in its slow hours half a
+/// second.
+const MOST_AGE: Duration = Duration::from_millis(2_000);
+
+/// Age below which an upstream is worth a subscription.
+const FRESH: Duration = Duration::from_millis(1_500);
+
 /// Longest wait of a poll on which others depend. What they may be behind adds
 /// up: this wait, the pause in which changes gather, a third of this wait and a
-/// heartbeat have to stay below the 2 s after which they ask the store themselves.
+/// heartbeat have to stay below [`MOST_AGE`].
 const WAIT_FOR_OTHERS: Duration = Duration::from_millis(1_000);
 
 /// Time for connecting to the store.
@@ -83,6 +97,21 @@
     Ok(Reader::new(client, adapter.dialect))
 }
 
+fn pace(settings: &Settings) -> Pace {
+    let bound = settings.bound().unwrap_or(USUAL_BOUND).min(USUAL_BOUND);
+    let share = bound.div_duration_f64(USUAL_BOUND);
+    Pace {
+        wait: settings
+            .notice()
+            .saturating_sub(CALL_TIMEOUT)
+            .mul_f64(share),
+        wait_for_others: WAIT_FOR_OTHERS.mul_f64(share),
+        gather: settings.gather().mul_f64(share),
+        most_age: MOST_AGE.mul_f64(share),
+        fresh: FRESH.mul_f64(share),
+    }
+}
+
 /// Starts what keeps the copy of the store, and what passes it on.
 pub(crate) async fn follow(
     settings: &Settings,
@@ -101,11 +130,7 @@
     let sources = Sources {
         reader: reader.clone(),
         prefix: adapter.vocabulary.prefix.to_owned(),
-        pace: Pace {
-            wait: settings.notice().saturating_sub(CALL_TIMEOUT),
-            wait_for_others: WAIT_FOR_OTHERS,
-            gather: settings.gather(),
-        },
+        pace: pace(settings),
         me: settings.instance.clone(),
         zone: settings.zone.clone(),
         seeds: settings.seeds.clone(),
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -28,13 +28,6 @@
 use crate::replica::register;
 use crate::replica::store;
 
-/// Age of the last contact with the store at which an upstream is left.
-///
-/// Operators' and servers' changes must be in force 3 s after the store has
-/// them, also where only the upstream is cut off. Asking the store takes some
-/// milliseconds from there, in its slow hours half a second.
-const MOST_AGE: Duration = Duration::from_millis(2_000);
-
 /// Longest pause between two polls while the store is silent and an upstream is
 /// heard: it tells at once when the store is back.
 const SLOW_RETRY: Duration = Duration::from_millis(1_500);
@@ -126,7 +119,7 @@
 
     fn is_old(&self) -> bool {
         let age = self.shared.age(Instant::now());
-        age.is_none_or(|age| age > MOST_AGE)
+        age.is_none_or(|age| age > self.sources.pace.most_age)
     }
 
     /// Asks the store without waiting for a change.
@@ -212,7 +205,7 @@
     ///
     /// A poll that brought changes is known to be as fresh as its question only,
     /// so that the one after it is kept short: an upstream's age stays below
-    /// [`MOST_AGE`] although polls without changes wait for a second.
+    /// [`Pace::most_age`] although polls without changes wait for half as long.
     fn wait(&self) -> Duration {
         let pace = self.sources.pace;
         match (self.is_silent, self.shared.subscribers()) {
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -19,10 +19,6 @@
 use crate::replica::subscribe::Subscription;
 use crate::replica::tree;
 
-/// Age below which an upstream is worth a subscription; lower than
-/// [`MOST_AGE`], or instances would come and go around it.
-const FRESH: Duration = Duration::from_millis(1_500);
-
 /// Pause before an upstream that failed is tried again.
 const REST: Duration = Duration::from_secs(2);
 
@@ -84,7 +80,7 @@
                 return self.catch_up().await;
             }
         };
-        let is_fresh = is_fresh(&first);
+        let is_fresh = self.is_fresh(&first);
         if is_fresh || horizon.is_none() {
             self.take(first).await?;
         }
@@ -113,6 +109,10 @@
         self.catch_up().await
     }
 
+    fn is_fresh(&self, news: &News) -> bool {
+        age(news).is_some_and(|age| age < self.sources.pace.fresh)
+    }
+
     async fn tell_source(&mut self, peer: SocketAddrV4) -> Result<(), End> {
         let member = self.members.values().find(|m| m.address == peer);
         let upstream = member.map(|member| member.instance.clone());
@@ -138,7 +138,7 @@
         self.resting.insert(nearer, Instant::now() + MOVE_REST);
         let horizon = self.shared.horizon();
         match Subscription::join(nearer, &self.sources.me, horizon).await {
-            Ok((subscription, first)) if is_fresh(&first) => {
+            Ok((subscription, first)) if self.is_fresh(&first) => {
                 self.take(first).await?;
                 self.tell_source(nearer).await?;
                 Ok(Some(subscription))
@@ -189,7 +189,3 @@
     }
     Ok(news)
 }
-
-fn is_fresh(news: &News) -> bool {
-    age(news).is_some_and(|age| age < FRESH)
-}
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -31,6 +31,11 @@
     ///
     /// Without it, each change of any server costs a call.
     pub gather: Duration,
+    /// Age of the last contact with the store at which an upstream is left.
+    pub most_age: Duration,
+    /// Age below which an upstream is worth a subscription; lower than
+    /// `most_age`, or instances would come and go around it.
+    pub fresh: Duration,
 }
 
 /// A whole listing.
