Take no old copy from above at the start

Cause: reading the code as a newcomer: an instance that starts took over the copy of the instance above whatever its age. Where that one is cut off from the store, new flows would go by routes that have been withdrawn, until the first poll. Change: a copy counts only if its owner has heard the store lately; otherwise the store is read.

--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -183,7 +183,7 @@
                     self.take(news).await?;
                     return Ok(true);
                 }
-                Copied::Late => return Ok(false),
+                Copied::Useless => return Ok(false),
                 Copied::Nobody if Instant::now() >= give_up => return Ok(false),
                 Copied::Nobody => time::sleep(START_RETRY).await,
             }
@@ -192,20 +192,31 @@
     }
 
     async fn copy_from_any(&self, above: &[SocketAddrV4]) -> Copied {
+        let mut has_old = false;
         for upstream in above {
             let copying = copy_from(*upstream, &self.sources.me.instance);
             match time::timeout(COPY_PATIENCE, copying).await {
-                Ok(Ok(news)) => return Copied::News(news),
+                Ok(Ok(news)) if self.is_fresh(&news) => return Copied::News(news),
+                // Its owner is cut off from the store. Who took it over would use
+                // routes that have been withdrawn meanwhile.
+                Ok(Ok(_)) => {
+                    info!(self.sources.log, "copy of upstream too old"; "peer" => %upstream);
+                    has_old = true;
+                }
                 Ok(Err(error)) => {
                     info!(self.sources.log, "no copy from upstream"; "error" => %error);
                 }
                 Err(_) => {
                     info!(self.sources.log, "no copy from upstream in time"; "peer" => %upstream);
-                    return Copied::Late;
+                    return Copied::Useless;
                 }
             }
         }
-        Copied::Nobody
+        if has_old {
+            Copied::Useless
+        } else {
+            Copied::Nobody
+        }
     }
 }
 
@@ -213,8 +224,8 @@
 enum Copied {
     /// The copy.
     News(News),
-    /// One answers, but has no copy in time.
-    Late,
+    /// Some answer, but with an old copy or none in time.
+    Useless,
     /// None answers.
     Nobody,
 }
