Tell a server's lives apart, and entries that are somebody else's

A server may start again under its name, and anybody may write to the store. A server's life is the time of its start; a new one begins with a slot of its own, so that flows, requests and evidence of the former one count nowhere any more, while packets still go to whoever has the name now. An earlier life never replaces a later one.

--- a/benches/plane.rs
+++ b/benches/plane.rs
@@ -43,6 +43,7 @@
         .expect("a name"),
         slots: 2,
         presence: Presence::Ready,
+        incarnation: None,
         cold_for: Duration::ZERO,
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 mod http;
 mod journal;
 mod metric;
+mod refusals;
 mod run;
 mod settings;
 mod signals;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -25,6 +25,7 @@
 use crate::entry::journal::Context;
 use crate::entry::journal::Journal;
 use crate::entry::metric::Metrics;
+use crate::entry::refusals::Refusals;
 use crate::entry::signals::Asked;
 use crate::entry::signals::Signals;
 use crate::entry::socket::Socket;
@@ -56,6 +57,7 @@
     plane: Plane,
     socket: Socket,
     journal: Journal,
+    refusals: Refusals,
     shared: Arc<Shared>,
     log: Logger,
     /// When the store last answered.
@@ -90,6 +92,7 @@
     let mut instance = Instance {
         plane: Plane::new(start::options(&settings)),
         journal: Journal::new(log.clone(), settings.log_lines_per_second, now),
+        refusals: Refusals::new(now),
         socket,
         shared,
         log,
@@ -234,11 +237,11 @@
     fn learn(&mut self, update: Update) {
         let now = Instant::now();
         self.tell_contact(now, &update);
+        self.refusals.renew(&update);
         let reading = Reading::new(&self.adapter.vocabulary, update);
         for refusal in &reading.refused {
             self.shared.metrics.refused_entries.inc();
-            warn!(self.log, "entry of the store refused"; "key" => &refusal.key,
-                "reason" => &refusal.reason);
+            self.refusals.note(now, refusal, &self.log);
         }
         for belief in reading.beliefs {
             self.believe(now, belief);
@@ -330,6 +333,7 @@
             contact_age_ms: self.contact_age_ms(now),
             upstream: self.upstream.clone(),
             servers,
+            refused: self.refusals.list(),
         }
     }
 }
@@ -340,6 +344,8 @@
         server: record.server.id.clone(),
         service: record.server.service.clone(),
         zone: record.server.zone.clone(),
+        incarnation: record.server.incarnation.map(|life| life.0),
+        is_unreadable: record.is_unreadable,
         is_draining: record.server.presence == Presence::Draining,
         missing_ms: record.missing_since.map(age),
         is_suspected: record.evidence.is_suspected(now),
@@ -359,6 +365,7 @@
             Presence::Draining => Some(("server draining", server.id.to_string())),
         },
         Belief::Gone(server) => Some(("server gone", server.to_string())),
+        Belief::Unreadable(server) => Some(("server unreadable", server.to_string())),
         Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
         Belief::Neighbours(count) => Some(("instances in this zone", count.to_string())),
         Belief::Contact(_) => None,
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::id;
+use crate::platform::poll::Refusal;
 
 /// What an instance believes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -24,6 +25,9 @@
     pub upstream: Option<id::Instance>,
     /// The backend servers, those that are gone included.
     pub servers: Vec<Server>,
+    /// Entries of the store that cannot be read at present, 32 at most.
+    #[serde(default)]
+    pub refused: Vec<Refusal>,
 }
 
 /// What an instance believes about a backend server.
@@ -35,6 +39,12 @@
     pub service: id::Service,
     /// Its availability zone.
     pub zone: id::Zone,
+    /// When it started, in Unix milliseconds, as it says itself.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
+    /// Whether its entry cannot be read, so that it gets no new flows.
+    #[serde(default)]
+    pub is_unreadable: bool,
     /// Whether it said that it leaves.
     pub is_draining: bool,
     /// Time since its entry went missing, in milliseconds.
@@ -59,6 +69,10 @@
                 missing_ms: Some(_),
                 ..
             } => "missing",
+            Self {
+                is_unreadable: true,
+                ..
+            } => "unreadable",
             Self {
                 is_draining: true, ..
             } => "draining",
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -27,7 +27,7 @@
                 let server = (vocabulary.server)(&key);
                 reading.beliefs.extend(server.map(Belief::Gone));
             }
-            Update::Refused(refusal) => reading.refused.push(refusal),
+            Update::Refused(refusal) => reading.refuse(vocabulary, refusal),
             Update::Contact => reading.beliefs.push(Belief::Contact(true)),
             Update::Silent { .. } => reading.beliefs.push(Belief::Contact(false)),
             Update::Neighbours(count) => reading.beliefs.push(Belief::Neighbours(count)),
@@ -36,43 +36,49 @@
         reading
     }
 
-    /// An entry that cannot be read leaves what was known of it.
+    /// An entry that cannot be read names no server to use; what was known of the
+    /// server stays for its open flows.
     fn put(&mut self, vocabulary: &Vocabulary, entry: &platform::Entry) {
         match (vocabulary.read)(entry) {
             Ok(Entry::Server(server)) => self.beliefs.push(Belief::Server(server)),
             Ok(Entry::Routes(routes)) => self.beliefs.push(Belief::Routes(routes)),
             Ok(Entry::Other) => {}
-            Err(reason) => self.refused.push(Refusal {
-                key: entry.key.clone(),
-                reason,
-            }),
+            Err(reason) => {
+                let key = entry.key.clone();
+                self.refuse(vocabulary, Refusal { key, reason });
+            }
         }
     }
 
+    fn refuse(&mut self, vocabulary: &Vocabulary, refusal: Refusal) {
+        let server = (vocabulary.server)(&refusal.key);
+        self.beliefs.extend(server.map(Belief::Unreadable));
+        self.refused.push(refusal);
+    }
+
     fn reset(
         &mut self,
         vocabulary: &Vocabulary,
         entries: &[platform::Entry],
         refused: Vec<Refusal>,
     ) {
-        self.refused = refused;
+        for refusal in refused {
+            self.refuse(vocabulary, refusal);
+        }
         for entry in entries {
             self.put(vocabulary, entry);
         }
         let mut listed = Vec::new();
+        let mut unreadable = Vec::new();
         let mut others = Vec::new();
         for belief in self.beliefs.drain(..) {
             match belief {
                 Belief::Server(server) => listed.push(server),
+                Belief::Unreadable(server) => unreadable.push(server),
                 other => others.push(other),
             }
         }
-        let unreadable = self.refused.iter();
-        let unreadable = unreadable.filter_map(|refusal| (vocabulary.server)(&refusal.key));
-        let servers = Belief::Servers {
-            listed,
-            unreadable: unreadable.collect(),
-        };
+        let servers = Belief::Servers { listed, unreadable };
         self.beliefs = others;
         self.beliefs.push(servers);
     }
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -37,5 +37,6 @@
 pub use segment::Flags;
 pub use segment::Pair;
 pub use segment::Segment;
+pub use tag::Incarnation;
 pub use tag::Serial;
 pub use tag::Tag;
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -45,17 +45,19 @@
 /// Servers that are silent are used only when all are, so that wrong evidence
 /// never leaves a service without servers; servers whose entry has just lapsed
 /// only when none is listed, which is how a store looks that lost all leases
-/// in an outage.
+/// in an outage; and servers whose entries somebody has overwritten last of all.
 pub(crate) fn choose(
     directory: &Directory,
     question: &Question<'_>,
     random: &mut SmallRng,
 ) -> Option<Choice> {
     let now = question.now;
-    let is_trusted = |record: &Record| record.is_open() && !record.evidence.is_suspected(now);
+    let is_open = |record: &Record| record.is_open() && directory.is_complete(record);
+    let is_trusted = |record: &Record| is_open(record) && !record.evidence.is_suspected(now);
     least_loaded(directory, question, random, is_trusted)
-        .or_else(|| least_loaded(directory, question, random, |r| r.is_open()))
+        .or_else(|| least_loaded(directory, question, random, is_open))
         .or_else(|| least_loaded(directory, question, random, |r| r.may_return(now)))
+        .or_else(|| least_loaded(directory, question, random, |r| r.may_open()))
 }
 
 fn least_loaded(
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -4,6 +4,7 @@
 //! their flows' packets still carry their tags: a server whose lease lapsed
 //! while the store was away may well live.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
@@ -11,6 +12,7 @@
 
 use tokio::time::Instant;
 
+use crate::flow::Incarnation;
 use crate::flow::Serial;
 use crate::flow::Tag;
 use crate::flow::evidence::Evidence;
@@ -36,6 +38,8 @@
     pub id: id::Server,
     /// What datagrams to it are named with.
     pub serial: Serial,
+    /// Its present life; `None` when its entry does not tell.
+    pub incarnation: Option<Incarnation>,
     /// The service it runs.
     pub service: id::Service,
     /// Where it takes datagrams.
@@ -61,14 +65,23 @@
     pub tag: Tag,
 }
 
-/// Index of a server in the directory; stays valid until it is forgotten, which
-/// is later than any of its flows is.
+/// Index of one life of a server in the directory; stays valid until the server is
+/// forgotten, which is later than any of its flows is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Slot(u32);
+pub(crate) struct Slot {
+    index: u32,
+    /// Lives of the server before this one.
+    life: u32,
+}
 
 impl Slot {
     fn index(self) -> usize {
-        self.0 as usize
+        self.index as usize
+    }
+
+    /// Whether both are lives of one server.
+    pub(crate) fn is_same_server(self, other: Self) -> bool {
+        self.index == other.index
     }
 }
 
@@ -77,6 +90,11 @@
 pub(crate) struct Record {
     pub(crate) server: Server,
     pub(crate) tag: Tag,
+    /// Lives before this one.
+    life: u32,
+    /// Whether its entry holds something that nobody can read, so that it names no
+    /// server to use; the server itself may well live.
+    pub(crate) is_unreadable: bool,
     /// When its entry was found missing; `None` while it is listed.
     pub(crate) missing_since: Option<Instant>,
     pub(crate) draining_since: Option<Instant>,
@@ -92,6 +110,22 @@
 }
 
 impl Record {
+    fn new(slot: Slot, server: Server, has_doubled_tag: bool, now: Instant) -> Self {
+        Self {
+            tag: Tag::of(server.serial),
+            life: slot.life,
+            is_unreadable: false,
+            missing_since: None,
+            draining_since: draining_since(&server, None, now),
+            cold_until: now + server.cold_for,
+            evidence: Evidence::default(),
+            outstanding: 0,
+            flows: 0,
+            has_doubled_tag,
+            server,
+        }
+    }
+
     pub(crate) fn target(&self) -> Target {
         Target {
             address: self.server.address,
@@ -102,6 +136,11 @@
 
     /// Whether new flows may go there.
     pub(crate) fn is_open(&self) -> bool {
+        self.may_open() && !self.is_unreadable
+    }
+
+    /// Whether new flows may go there as far as its last readable entry tells.
+    pub(crate) fn may_open(&self) -> bool {
         let ready = self.server.presence == Presence::Ready;
         ready && self.missing_since.is_none() && !self.has_doubled_tag
     }
@@ -146,6 +185,9 @@
     by_service: HashMap<id::Service, Pool>,
     /// How long a server that is gone stays known.
     keep: Duration,
+    /// Whether entries tell their servers' lives; one that does not is somebody
+    /// else's then, and counts as unreadable.
+    tells_lives: bool,
     /// Since when the store has answered without a break; `None` during one.
     contact_since: Option<Instant>,
 }
@@ -162,15 +204,35 @@
             by_tag: HashMap::new(),
             by_service: HashMap::new(),
             keep,
+            tells_lives: false,
             contact_since: None,
         }
     }
 
-    /// Takes in a server's entry.
-    pub fn put(&mut self, now: Instant, server: Server) {
+    /// Takes in a server's entry; `false` when it is of an earlier life.
+    ///
+    /// A write of a server's former life can reach the store after the first of
+    /// its present one.
+    pub fn put(&mut self, now: Instant, server: Server) -> bool {
+        self.tells_lives |= server.incarnation.is_some();
         let Some(slot) = self.by_id.get(&server.id).copied() else {
-            return self.insert(now, server);
+            self.insert(now, server);
+            return true;
         };
+        let known = self.get(slot).and_then(|record| record.server.incarnation);
+        match known.cmp(&server.incarnation) {
+            Ordering::Greater if server.incarnation.is_none() => {
+                self.mark_unreadable(&server.id);
+                return true;
+            }
+            Ordering::Greater => return false,
+            Ordering::Less if known.is_some() => self.restart(now, slot, server),
+            Ordering::Less | Ordering::Equal => self.update(now, slot, server),
+        }
+        true
+    }
+
+    fn update(&mut self, now: Instant, slot: Slot, server: Server) {
         let is_moved = |known: &Record| {
             known.server.service != server.service || known.server.zone != server.zone
         };
@@ -182,15 +244,47 @@
             return;
         };
         record.missing_since = None;
+        record.is_unreadable = false;
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
         record.server = server;
     }
 
+    /// Begins a server's next life, which holds nothing of the one before.
+    ///
+    /// Flows, requests and evidence of the former life stay with its slot, which
+    /// counts nowhere any more: the new one would look loaded or silent for what
+    /// it never had. Packets of those flows go to the new life, which resets what
+    /// it does not hold, so that their callers know at once.
+    fn restart(&mut self, now: Instant, former: Slot, server: Server) {
+        self.unlist(former);
+        let slot = Slot {
+            life: former.life.wrapping_add(1),
+            ..former
+        };
+        let tag = Tag::of(server.serial);
+        let has_doubled_tag = self.by_tag.get(&tag) != Some(&former);
+        if !has_doubled_tag {
+            self.by_tag.insert(tag, slot);
+        }
+        self.by_id.insert(server.id.clone(), slot);
+        self.list(slot, &server);
+        self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
+    }
+
+    /// Takes in that a server's entry cannot be read.
+    pub fn mark_unreadable(&mut self, id: &id::Server) {
+        let slot = self.by_id.get(id).copied();
+        if let Some(record) = slot.and_then(|slot| self.get_mut(slot)) {
+            record.is_unreadable = true;
+        }
+    }
+
     fn insert(&mut self, now: Instant, server: Server) {
         let slot = self.free.pop().unwrap_or_else(|| {
             self.records.push(None);
-            Slot(self.records.len() as u32 - 1)
+            let index = self.records.len() as u32 - 1;
+            Slot { index, life: 0 }
         });
         let tag = Tag::of(server.serial);
         // The older server keeps the tag: its flows carry it already. Packets
@@ -201,18 +295,7 @@
         }
         self.by_id.insert(server.id.clone(), slot);
         self.list(slot, &server);
-        let record = Record {
-            tag,
-            missing_since: None,
-            draining_since: draining_since(&server, None, now),
-            cold_until: now + server.cold_for,
-            evidence: Evidence::default(),
-            outstanding: 0,
-            flows: 0,
-            has_doubled_tag,
-            server,
-        };
-        self.records[slot.index()] = Some(record);
+        self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
     }
 
     /// Takes in that a server's entry is gone.
@@ -225,6 +308,9 @@
 
     /// Takes in the whole list; what is neither on it nor unreadable is gone.
     pub fn replace(&mut self, now: Instant, servers: Vec<Server>, unreadable: Vec<id::Server>) {
+        for id in &unreadable {
+            self.mark_unreadable(id);
+        }
         let mut listed: HashSet<id::Server> = unreadable.into_iter().collect();
         listed.extend(servers.iter().map(|server| server.id.clone()));
         let missing: Vec<_> = self
@@ -268,16 +354,25 @@
     pub fn forget(&mut self, now: Instant) {
         let keep = self.keep;
         let is_over = |record: &Record| record.missing_since.is_some_and(|s| now >= s + keep);
-        let over: Vec<Slot> = (0..self.records.len() as u32)
-            .map(Slot)
-            .filter(|slot| self.get(*slot).is_some_and(is_over))
-            .collect();
+        let slots = self.records.iter().enumerate();
+        let over = slots.filter_map(|(index, record)| {
+            let record = record.as_ref().filter(|record| is_over(record))?;
+            Some(Slot {
+                index: index as u32,
+                life: record.life,
+            })
+        });
+        let over: Vec<Slot> = over.collect();
         for slot in over {
             self.unlist(slot);
             let Some(record) = self.records[slot.index()].take() else {
                 continue;
             };
-            self.free.push(slot);
+            // Flows may still name the slot's former server.
+            self.free.push(Slot {
+                life: slot.life.wrapping_add(1),
+                ..slot
+            });
             self.by_id.remove(&record.server.id);
             if self.by_tag.get(&record.tag) == Some(&slot) {
                 self.by_tag.remove(&record.tag);
@@ -322,12 +417,20 @@
         self.by_service.get(service)
     }
 
+    /// The server, in its present life.
     pub(crate) fn get(&self, slot: Slot) -> Option<&Record> {
         self.records.get(slot.index())?.as_ref()
     }
 
+    /// The server, if it still lives the life that is meant.
     pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut Record> {
-        self.records.get_mut(slot.index())?.as_mut()
+        let record = self.records.get_mut(slot.index())?.as_mut();
+        record.filter(|record| record.life == slot.life)
+    }
+
+    /// Whether an entry tells what all servers tell of themselves.
+    pub(crate) fn is_complete(&self, record: &Record) -> bool {
+        !self.tells_lives || record.server.incarnation.is_some()
     }
 
     pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -65,6 +65,8 @@
     },
     /// One server's entry was written.
     Server(Server),
+    /// One server's entry cannot be read.
+    Unreadable(id::Server),
     /// One server's entry is gone.
     Gone(id::Server),
     /// A configuration.
@@ -149,7 +151,8 @@
                 self.has_servers = true;
                 self.directory.replace(now, listed, unreadable);
             }
-            Belief::Server(server) => self.directory.put(now, server),
+            Belief::Server(server) => return self.directory.put(now, server),
+            Belief::Unreadable(server) => self.directory.mark_unreadable(&server),
             Belief::Gone(server) => self.directory.remove(now, &server),
             Belief::Routes(routes) => return self.configure(routes),
             Belief::Neighbours(count) => self.neighbours = count.max(1),
--- a/src/flow/plane/carry.rs
+++ b/src/flow/plane/carry.rs
@@ -75,7 +75,9 @@
     ) -> Option<Slot> {
         let flow = self.table.get(key)?;
         let Phase::Opening(opening) = &flow.phase else {
-            let keeps = flow.is_pinned || tagged.is_none();
+            // A flow of its server's former life stays counted there.
+            let is_former = tagged.is_some_and(|slot| slot.is_same_server(flow.server));
+            let keeps = flow.is_pinned || tagged.is_none() || is_former;
             let slot = if keeps { flow.server } else { tagged? };
             if matches!(flow.phase, Phase::Open) {
                 self.move_flow(key, slot);
--- a/src/flow/tag.rs
+++ b/src/flow/tag.rs
@@ -7,10 +7,10 @@
 
 use siphasher::sip::SipHasher13;
 
-/// Identity of one start of a backend server, as its datagrams name it.
+/// Identity of a backend server, as its datagrams name it.
 ///
-/// A server ignores what names another start, so that a packet sent to an
-/// address that changed hands harms nobody.
+/// A server ignores what names another one, so that a packet sent to an address
+/// that changed hands harms nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Serial(pub u64);
 
@@ -28,6 +28,28 @@
     }
 }
 
+/// One life of a backend server: when it started, in Unix milliseconds.
+///
+/// A server that starts again under its serial knows nothing of before. Lives of
+/// one server are only compared with each other, so that clocks that differ
+/// between machines do no harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
+
 /// Routing tag: 32 bits of a packet that both ends repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Tag(pub u32);
--- a/src/render.rs
+++ b/src/render.rs
@@ -154,7 +154,16 @@
             server.flows.to_string(),
         ]);
     }
-    join([head.to_string(), servers.to_string()])
+    let mut refused = new(["refused entry", "reason"]);
+    for refusal in &view.refused {
+        refused.add_row([&refusal.key, &refusal.reason]);
+    }
+    let refused = (!view.refused.is_empty()).then(|| refused.to_string());
+    join(
+        [head.to_string(), servers.to_string()]
+            .into_iter()
+            .chain(refused),
+    )
 }
 
 /// One document, a row for each field.
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod forget;
 mod gone;
+mod incarnation;
 mod opening;
 mod sequence;
 mod support;
--- a/tests/flow/support.rs
+++ b/tests/flow/support.rs
@@ -39,6 +39,7 @@
         zone: zone.parse().unwrap(),
         slots: 2,
         presence: Presence::Ready,
+        incarnation: None,
         cold_for: Duration::ZERO,
     }
 }
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -9,6 +9,7 @@
 use axum::routing::get;
 use godwitreel::entry::Server;
 use godwitreel::entry::Status;
+use godwitreel::poll::Refusal;
 use predicates::prelude::*;
 use serde_json::Value;
 use tokio::net::TcpListener;
@@ -18,6 +19,8 @@
         server: name.parse().unwrap(),
         service: "dispatch".parse().unwrap(),
         zone: "bole".parse().unwrap(),
+        incarnation: Some(1_766_000_000_000),
+        is_unreadable: false,
         is_draining: false,
         missing_ms: None,
         is_suspected: false,
@@ -43,6 +46,10 @@
         missing_ms: Some(2_700),
         ..server("i-4")
     };
+    let unreadable = Server {
+        is_unreadable: true,
+        ..server("i-5")
+    };
     Status {
         instance: "edge-bole-1".parse().unwrap(),
         zone: "bole".parse().unwrap(),
@@ -51,7 +58,11 @@
         flows: 81,
         contact_age_ms: Some(230),
         upstream: Some("edge-bole-2".parse().unwrap()),
-        servers: vec![server("i-1"), draining, suspected, missing],
+        servers: vec![server("i-1"), draining, suspected, missing, unreadable],
+        refused: vec![Refusal {
+            key: "servers/i-9".to_owned(),
+            reason: "missing field `addr`".to_owned(),
+        }],
     }
 }
 
@@ -89,6 +100,11 @@
             shown("draining")
                 .and(shown("suspected"))
                 .and(shown("missing")),
+        )
+        .stdout(
+            shown("unreadable")
+                .and(shown("servers/i-9"))
+                .and(shown("missing field `addr`")),
         );
 }
 
