Heads of a zone stand in for each other; first copies race the store

Change: all candidates are asked for a copy at once, and the store is read as well after 60 ms, whichever is first; the three heads of a zone are followed in place of one that is cut off; an upstream that fails is left alone for twice as long each time.

--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -61,6 +61,8 @@
     pub peers: SocketAddrV4,
     /// Time in which changes of the store must be in force.
     pub bound: Duration,
+    /// Longest wait for another instance's copy at the start.
+    pub copy_wait: Duration,
     /// Rate of its link, in Mbit/s.
     pub link_mbps: f64,
     /// Instances to ask when the store does not answer.
@@ -216,6 +218,7 @@
         "store": {
             "addresses": [format!("http://{}", setup.store)],
             "bounds_ms": [setup.bound.as_millis() as u64],
+            "copy_wait_ms": setup.copy_wait.as_millis() as u64,
         },
         "link_mbps": setup.link_mbps,
         "grace_ms": GRACE.as_millis() as u64,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -450,6 +450,9 @@
     }
 }
 
+/// Wait of an instance that starts for another one's copy.
+const COPY_WAIT: Duration = Duration::from_millis(60);
+
 /// Rate of the instances' links, in Mbit/s.
 const LINK_MBPS: f64 = 1_000.0;
 
@@ -463,6 +466,7 @@
         packets: plan.port,
         zone: zone(number).to_owned(),
         store: plan.store_link(number),
+        copy_wait: COPY_WAIT,
         link_mbps: LINK_MBPS,
         bound: BOUND,
         peers: plan.peer_link(number),
--- a/src/entry/checks.rs
+++ b/src/entry/checks.rs
@@ -16,6 +16,10 @@
 /// must get no new flows 3 s after they said so.
 const MOST_GATHER: u64 = 2_000;
 
+/// Longest wait for another instance's copy, in milliseconds: a fleet must be back
+/// 12 s after all of it was killed.
+const MOST_COPY_WAIT: u64 = 10_000;
+
 /// Longest life of a flow, in seconds.
 const MOST_FLOW_TTL: u64 = 86_400;
 
@@ -51,6 +55,7 @@
         .or_else(|| range("store.notice_ms", store.notice_ms, 100, MOST_NOTICE))
         .or_else(|| bounds(&store.bounds_ms))
         .or_else(|| range("store.gather_ms", store.gather_ms, 0, MOST_GATHER))
+        .or_else(|| range("store.copy_wait_ms", store.copy_wait_ms, 0, MOST_COPY_WAIT))
 }
 
 fn bounds(bounds_ms: &[u64]) -> Check {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -37,6 +37,10 @@
     /// Pause in which changes gather, in milliseconds.
     #[serde(default = "default_gather_ms")]
     pub gather_ms: u64,
+    /// Longest time that an instance that starts waits for another one's copy
+    /// before it reads the store as well, in milliseconds.
+    #[serde(default = "default_copy_wait_ms")]
+    pub copy_wait_ms: u64,
 }
 
 /// Settings of an entry instance.
@@ -101,6 +105,11 @@
     400
 }
 
+/// Instances that read the store are ready 25 to 50 ms after their start.
+fn default_copy_wait_ms() -> u64 {
+    60
+}
+
 fn default_flow_ttl_s() -> u64 {
     60
 }
@@ -167,6 +176,10 @@
         least.copied().map(Duration::from_millis)
     }
 
+    pub(crate) fn copy_wait(&self) -> Duration {
+        Duration::from_millis(self.store.copy_wait_ms)
+    }
+
     pub(crate) fn gather(&self) -> Duration {
         Duration::from_millis(self.store.gather_ms)
     }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -114,6 +114,7 @@
             .mul_f64(share),
         wait_for_others: WAIT_FOR_OTHERS.mul_f64(share),
         gather: settings.gather().mul_f64(share),
+        copy_wait: settings.copy_wait(),
         most_age: MOST_AGE.mul_f64(share),
         fresh: FRESH.mul_f64(share),
     }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -59,4 +59,5 @@
 pub use register::Member;
 pub use store::Keys;
 pub use store::Pace;
+pub use tree::candidates;
 pub use tree::upstream;
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -28,8 +28,10 @@
 use crate::replica::Update;
 use crate::replica::copy;
 use crate::replica::follow::poll::Large;
+use crate::replica::follow::upstream::Rest;
 use crate::replica::register;
 use crate::replica::store;
+use crate::replica::store::Listing;
 use crate::replica::subscribe::Report;
 
 /// Longest pause between two polls while the store is silent and an upstream is
@@ -75,8 +77,8 @@
     above: Option<Vec<SocketAddrV4>>,
     /// Members of this zone, as told last.
     neighbours: usize,
-    /// Upstreams that failed, and when they may be tried again.
-    resting: HashMap<SocketAddrV4, Instant>,
+    /// Upstreams that failed.
+    resting: HashMap<SocketAddrV4, Rest>,
     is_silent: bool,
     /// The last poll brought changes.
     had_changes: bool,
@@ -167,27 +169,23 @@
     }
 
     async fn ask_store(&mut self) -> Result<(), End> {
-        match self.shared.horizon().filter(|_| !self.is_compacted) {
-            None => self.list().await,
+        match self.shared.horizon() {
+            None => self.begin().await,
+            Some(_) if self.is_compacted => {
+                let all = self.sources.keys.all;
+                let listing = store::list(&self.sources.reader, all).await?;
+                self.take_listing(listing).await
+            }
             Some(horizon) => self.poll(horizon).await,
         }
     }
 
-    /// Lists the store, unless another instance gives the first copy.
-    async fn list(&mut self) -> Result<(), End> {
-        let is_start = self.shared.horizon().is_none();
-        if is_start && self.copy_from_above().await? {
-            return Ok(());
-        }
-        let asked = Instant::now();
-        let reader = self.sources.reader.clone();
-        let first = reader.page(self.sources.keys.all, None).await?;
-        let listing = store::list(&reader, self.sources.keys.all, first).await?;
+    async fn take_listing(&mut self, listing: Listing) -> Result<(), End> {
         self.is_compacted = false;
         self.large = Large::default();
         self.reset(listing.entries, listing.refused, listing.revision)
             .await?;
-        self.answered(asked).await
+        self.answered(listing.asked).await
     }
 
     async fn answered(&mut self, at: Instant) -> Result<(), End> {
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -11,43 +11,51 @@
 
 use slog::info;
 use tokio::time;
-use tokio::time::Instant;
 
 use crate::id;
-use crate::replica::Member;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
-use crate::replica::follow::upstream::COPY_PATIENCE;
 use crate::replica::register;
+use crate::replica::store;
 use crate::replica::subscribe::Report;
 use crate::replica::subscribe::Subscription;
-use crate::replica::tree;
+use crate::replica::tree::HEADS;
 
-/// Instances of a zone that read the store at once, the first by rank. Three, so
-/// that the others have somebody to ask when two of them are gone.
-const READERS: usize = 3;
-
-/// How long after each other instances that start together come up: the platform
-/// starts all within 0.3 s.
-const START_SPREAD: Duration = Duration::from_millis(300);
-
-/// Pause before instances that do not answer yet are asked for a copy again.
-const START_RETRY: Duration = Duration::from_millis(50);
-
-/// What came of asking the instances above for a copy.
-enum Copied {
-    /// The copy.
-    Report(Report),
-    /// Some answer, but with an old copy or none in time.
-    Useless,
-    /// None answers.
-    Nobody,
-}
+/// Pause before an instance that does not answer yet is asked for a copy again.
+const RETRY: Duration = Duration::from_millis(25);
 
 impl Follower {
-    /// Gets the first copy from an instance above, which may be waiting for its
-    /// own. `false` when the store has to be read.
-    pub(super) async fn copy_from_above(&mut self) -> Result<bool, End> {
+    /// Gets the first copy: from the store, or from an instance that has it.
+    ///
+    /// Machines that start together have their power back within 0.3 s of each
+    /// other, so that those to be asked may not be there yet. Whoever waits in vain
+    /// for [`crate::replica::Pace::copy_wait`] reads the store as well, and takes
+    /// what comes first.
+    pub(super) async fn begin(&mut self) -> Result<(), End> {
+        let feeders = self.feeders().await?;
+        let reader = self.sources.reader.clone();
+        let all = self.sources.keys.all;
+        if feeders.is_empty() {
+            let listing = store::list(&reader, all).await?;
+            return self.take_listing(listing).await;
+        }
+        let copying = self.copy_from_first(&feeders);
+        let reading = async {
+            time::sleep(self.sources.pace.copy_wait).await;
+            store::list(&reader, all).await
+        };
+        let first = tokio::select! {
+            report = copying => Ok(report),
+            listing = reading => Err(listing),
+        };
+        match first {
+            Ok(report) => self.take(report).await,
+            Err(listing) => self.take_listing(listing?).await,
+        }
+    }
+
+    /// Whom to ask for a copy; nobody when this instance is a head of its zone.
+    async fn feeders(&mut self) -> Result<Vec<SocketAddrV4>, End> {
         let reader = self.sources.reader.clone();
         let page = reader.page(register::PREFIX, None).await?;
         for entry in &page.entries {
@@ -57,72 +65,42 @@
         let me = self.sources.me.clone();
         self.members.entry(register::key(&me)).or_insert(me);
         self.above = None;
-        let feeders = self.feeders();
-        let give_up = Instant::now() + START_SPREAD;
-        while !feeders.is_empty() {
-            match self.copy_from_any(&feeders).await {
-                Copied::Report(report) => {
-                    self.take(report).await?;
-                    return Ok(true);
-                }
-                Copied::Useless => return Ok(false),
-                Copied::Nobody if Instant::now() >= give_up => return Ok(false),
-                Copied::Nobody => time::sleep(START_RETRY).await,
-            }
-        }
-        Ok(false)
+        let above = self.above();
+        let is_head = above.len() < HEADS;
+        Ok(if is_head { Vec::new() } else { above })
     }
 
-    /// Whom to ask for a copy: the nearest above, then the zone's readers; nobody
-    /// when this instance is one of them.
-    fn feeders(&mut self) -> Vec<SocketAddrV4> {
-        let members: Vec<Member> = self.members.values().cloned().collect();
-        let me = &self.sources.me;
-        let ranked = tree::ranked(&me.zone, &members);
-        let place = ranked
+    /// The copy of whichever gives one first. All are asked at once: a machine
+    /// without power does not even refuse.
+    async fn copy_from_first(&self, feeders: &[SocketAddrV4]) -> Report {
+        let copies = feeders
             .iter()
-            .position(|member| member.instance == me.instance);
-        if place.is_none_or(|place| place < READERS) {
-            return Vec::new();
-        }
-        let readers = ranked.iter().take(READERS).map(|member| member.address);
-        let readers: Vec<SocketAddrV4> = readers.collect();
-        let mut feeders = self.above();
-        feeders.retain(|address| !readers.contains(address));
-        feeders.extend(readers);
-        feeders
+            .map(|feeder| Box::pin(self.copy_from(*feeder)));
+        let (report, _, _) = futures::future::select_all(copies).await;
+        report
     }
 
-    async fn copy_from_any(&self, feeders: &[SocketAddrV4]) -> Copied {
-        let mut has_old = false;
-        for feeder in feeders {
-            let copying = copy_from(*feeder, &self.sources.me.instance);
-            match time::timeout(COPY_PATIENCE, copying).await {
-                Ok(Ok(report)) if self.is_fresh(&report) => return Copied::Report(report),
+    /// The copy of an instance, as soon as it has one.
+    async fn copy_from(&self, feeder: SocketAddrV4) -> Report {
+        loop {
+            match ask_for_copy(feeder, &self.sources.me.instance).await {
+                Ok(report) if self.is_fresh(&report) => return report,
                 // Its owner is cut off from the store. Who took it over would use
                 // routes that have been withdrawn meanwhile.
-                Ok(Ok(_)) => {
+                Ok(_) => {
                     info!(self.sources.log, "copy of upstream too old"; "peer" => %feeder);
-                    has_old = true;
+                    return std::future::pending().await;
                 }
-                Ok(Err(error)) => {
+                Err(error) => {
                     info!(self.sources.log, "no copy from upstream"; "error" => %error);
                 }
-                Err(_) => {
-                    info!(self.sources.log, "no copy from upstream in time"; "peer" => %feeder);
-                    return Copied::Useless;
-                }
             }
-        }
-        if has_old {
-            Copied::Useless
-        } else {
-            Copied::Nobody
+            time::sleep(RETRY).await;
         }
     }
 }
 
-async fn copy_from(feeder: SocketAddrV4, me: &id::Instance) -> crate::Result<Report> {
+async fn ask_for_copy(feeder: SocketAddrV4, me: &id::Instance) -> crate::Result<Report> {
     let joined = Subscription::join(feeder, me, None, Vec::new()).await;
     let (mut subscription, mut report) = joined?;
     while !report.is_everything {
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -20,6 +20,18 @@
 /// Pause before an upstream that failed is tried again.
 const REST: Duration = Duration::from_secs(2);
 
+/// Doublings of a pause at most: an upstream that was cut off for long is tried
+/// again 16 s after the cut at the latest.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// An upstream that failed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rest {
+    /// When it may be tried again.
+    until: Instant,
+    failures: u32,
+}
+
 /// Pause before a nearer upstream that failed is tried again, while a further one
 /// serves: it may be gone, and each try holds the present one's news up.
 const MOVE_REST: Duration = Duration::from_secs(5);
@@ -28,14 +40,12 @@
 /// reads for up to a second, and two steps of sixteen copies, two at a time, take
 /// most of a second each; who waits longer reads the store, which leaves most of
 /// the 12 s in which a fleet must be back.
-pub(super) const COPY_PATIENCE: Duration = Duration::from_secs(4);
+const COPY_PATIENCE: Duration = Duration::from_secs(4);
 
 impl Follower {
     /// The nearest upstream that does not rest. Before anything is known, which
     /// is so when the store was silent at the start, any seed will do.
     pub(super) fn candidate(&mut self) -> Option<SocketAddrV4> {
-        let now = Instant::now();
-        self.resting.retain(|_, until| now < *until);
         if self.shared.horizon().is_none() {
             let seeds = if self.backoff.has_failed() {
                 self.sources.seeds.as_slice()
@@ -48,20 +58,34 @@
         above.into_iter().find(|address| self.may_try(address))
     }
 
-    /// The instances above this one, the nearest first.
+    /// The instances to follow, the best first.
     pub(super) fn above(&mut self) -> Vec<SocketAddrV4> {
         if let Some(above) = &self.above {
             return above.clone();
         }
         let members: Vec<Member> = self.members.values().cloned().collect();
-        let above = tree::upstream(&self.sources.me.instance, &self.sources.me.zone, &members);
+        let above = tree::candidates(&self.sources.me.instance, &self.sources.me.zone, &members);
         let above: Vec<SocketAddrV4> = above.iter().map(|member| member.address).collect();
         self.above = Some(above.clone());
         above
     }
 
+    /// Leaves an upstream alone for a while, longer each time that it fails.
+    fn rest(&mut self, peer: SocketAddrV4, first: Duration) {
+        let failures = self.resting.get(&peer).map_or(0, |rest| rest.failures);
+        let pause = first * (1 << failures.min(MOST_DOUBLINGS));
+        let rest = Rest {
+            until: Instant::now() + pause,
+            failures: failures + 1,
+        };
+        self.resting.insert(peer, rest);
+    }
+
     fn may_try(&self, address: &SocketAddrV4) -> bool {
-        !self.resting.contains_key(address)
+        let now = Instant::now();
+        self.resting
+            .get(address)
+            .is_none_or(|rest| now >= rest.until)
     }
 
     /// Follows an upstream until it fails or falls behind the store.
@@ -69,7 +93,7 @@
     /// Whatever ends it, the store is asked next, at once: other upstreams may be
     /// cut off together with this one, and each try would make the copy older.
     pub(super) async fn subscribe(&mut self, mut peer: SocketAddrV4) -> Result<(), End> {
-        self.resting.insert(peer, Instant::now() + REST);
+        self.rest(peer, REST);
         let horizon = self.shared.horizon();
         let (mut subscription, first) = match self.join(peer).await {
             Ok(joined) => joined,
@@ -86,6 +110,7 @@
             return self.catch_up().await;
         }
         self.tell_source(peer).await?;
+        self.resting.remove(&peer);
         let error = loop {
             match subscription.next().await {
                 Ok(report) => self.take(report).await?,
@@ -101,7 +126,7 @@
                 peer = nearer;
             }
         };
-        self.resting.insert(peer, Instant::now() + REST);
+        self.rest(peer, REST);
         warn!(self.sources.log, "upstream lost"; "peer" => %peer, "reason" => error);
         self.sender.send(Update::Source { upstream: None }).await?;
         self.catch_up().await
@@ -141,19 +166,18 @@
     /// are, and these would each ask the store for all they need.
     fn nearer(&mut self, peer: SocketAddrV4) -> Option<SocketAddrV4> {
         let above = self.above();
-        let now = Instant::now();
-        self.resting.retain(|_, until| now < *until);
         let mut nearer = above.into_iter().take_while(|address| *address != peer);
         nearer.find(|address| self.may_try(address))
     }
 
     /// Subscribes to a nearer instance; the present subscription stays until then.
     async fn move_to(&mut self, nearer: SocketAddrV4) -> Result<Option<Subscription>, End> {
-        self.resting.insert(nearer, Instant::now() + MOVE_REST);
+        self.rest(nearer, MOVE_REST);
         match self.join(nearer).await {
             Ok((subscription, first)) if self.is_fresh(&first) => {
                 self.take(first).await?;
                 self.tell_source(nearer).await?;
+                self.resting.remove(&nearer);
                 Ok(Some(subscription))
             }
             Ok(_) => Ok(None),
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -11,7 +11,6 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::platform::Entry;
-use crate::platform::poll::Page;
 use crate::platform::poll::Reader;
 use crate::platform::poll::Refusal;
 
@@ -41,6 +40,9 @@
     ///
     /// Without it, each change of any server costs a call.
     pub gather: Duration,
+    /// Longest time that an instance that starts waits for another one's copy
+    /// before it reads the store as well.
+    pub copy_wait: Duration,
     /// Age of the last contact with the store at which an upstream is left.
     pub most_age: Duration,
     /// Age below which an upstream is worth a subscription; lower than
@@ -53,15 +55,20 @@
     pub(crate) entries: Vec<Entry>,
     pub(crate) refused: Vec<Refusal>,
     pub(crate) revision: u64,
+    /// When it was asked for: all that was written before is in it.
+    pub(crate) asked: Instant,
 }
 
-/// Reads the pages after the first. They are no snapshot, so that polling goes on
-/// from the first page's revision: what changed since then is told again.
-pub(crate) async fn list(reader: &Reader, prefix: &str, first: Page) -> Result<Listing> {
+/// Reads all pages. They are no snapshot, so that polling goes on from the first
+/// page's revision: what changed since then is told again.
+pub(crate) async fn list(reader: &Reader, prefix: &str) -> Result<Listing> {
+    let asked = Instant::now();
+    let first = reader.page(prefix, None).await?;
     let mut listing = Listing {
         entries: first.entries,
         refused: first.refused,
         revision: first.revision,
+        asked,
     };
     let mut after = first.next;
     while let Some(key) = after {
--- a/src/replica/tree.rs
+++ b/src/replica/tree.rs
@@ -30,6 +30,32 @@
     above
 }
 
+/// Instances at the head of a zone that stand in for others above, and that read the
+/// store at once when they start. Three, so that two of them may be gone.
+pub(crate) const HEADS: usize = 3;
+
+/// Whom to follow, the best first: the instances above, then the heads of the zone.
+///
+/// Where the first instance is cut off from the store, those below it each asked
+/// the store for themselves every two seconds; the head after it, which does so
+/// anyway, can feed them. All of these rank before the instance itself.
+pub fn candidates<'a>(
+    me: &id::Instance,
+    zone: &id::Zone,
+    members: &'a [Member],
+) -> Vec<&'a Member> {
+    let ranked = ranked(zone, members);
+    let before = ranked.iter().position(|member| member.instance == *me);
+    let heads = ranked.iter().take(before.unwrap_or_default().min(HEADS));
+    let mut candidates = upstream(me, zone, members);
+    for head in heads {
+        if !candidates.contains(head) {
+            candidates.push(head);
+        }
+    }
+    candidates
+}
+
 /// The members of a zone, the first by rank first.
 pub(crate) fn ranked<'a>(zone: &id::Zone, members: &'a [Member]) -> Vec<&'a Member> {
     let mut ranked: Vec<&Member> = members.iter().filter(|m| m.zone == *zone).collect();
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -5,6 +5,7 @@
 use godwitreel::id;
 use godwitreel::replica::Bandwidth;
 use godwitreel::replica::Member;
+use godwitreel::replica::candidates;
 use godwitreel::replica::upstream;
 use proptest::prelude::*;
 
@@ -51,6 +52,39 @@
     assert!(subscribers.values().all(|count| *count <= 16));
 }
 
+// Wide links feed the others. With two of 200 Mbit/s and 21 of 10 in a zone, no thin
+// link feeds anybody.
+#[test]
+fn wide_links_stand_above_thin_ones() {
+    let mut members = members(46);
+    for member in &mut members {
+        let number = member.address.port() - 1_000;
+        member.link_mbps = Bandwidth(if number < 4 { 200.0 } else { 10.0 });
+    }
+    for me in &members {
+        let chain = upstream(&me.instance, &me.zone, &members);
+        assert!(chain.iter().all(|above| above.link_mbps.0 > 100.0));
+    }
+}
+
+// The first of a zone is cut off from the store. Those below it follow the next
+// ones, which rank before them, and all need not ask the store each.
+#[test]
+fn heads_of_a_zone_stand_in_for_each_other() {
+    let members = members(46);
+    let mut counts = [0; 4];
+    for me in &members {
+        let candidates = candidates(&me.instance, &me.zone, &members);
+        counts[candidates.len().min(3)] += 1;
+        assert!(!candidates.contains(&me));
+        for candidate in &candidates {
+            let theirs = above(candidate, &members);
+            assert!(!theirs.contains(&me.instance), "ranks lead upwards");
+        }
+    }
+    assert_eq!(counts, [2, 2, 2, 40], "three heads in each of two zones");
+}
+
 #[test]
 fn changes_stay_in_their_zone() {
     let members = members(40);
