Share what callers go through at servers within a zone

Hypothesis: servers that answer errors at once or hang, with good health, get work because they are never busy, and each of 23 instances of a zone learns alone.

Change: requests open for much longer than usual at their service, and answers that come much sooner with much less, are counted for each server, with counts that fade; the share of bad ends makes a server look busier. Instances of a zone add the counts up along their subscriptions and get the sum back; what one can say is limited, a server's new life begins clean, and one's own good ends count more than others' word.

And any share of bad ends moved work: all instances moved together from server to server. A share of 0.35 is tolerated now.

--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -82,6 +82,7 @@
         Note::Released { .. } => "released",
         Note::Dropped { .. } => "dropped",
         Note::Suspected { .. } => "suspected",
+        Note::Stalled { .. } => "stalled",
         Note::Cleared { .. } => "cleared",
     }
 }
@@ -118,6 +119,12 @@
             "outcome" => kind, "flow" => %pair, "reason" => %reason),
         Note::Suspected { server, misses } => warn!(log, "server suspected";
             "outcome" => kind, "server" => %server, "misses" => misses),
+        Note::Stalled {
+            pair,
+            server,
+            waited_ms,
+        } => info!(log, "request not answered"; "outcome" => kind, "flow" => %pair,
+            "server" => %server, "waited_ms" => waited_ms),
         Note::Cleared { server } => info!(log, "server answers again";
             "outcome" => kind, "server" => %server),
     }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -34,12 +34,19 @@
 use crate::entry::view::Reading;
 use crate::error::Result;
 use crate::flow::Belief;
+use crate::flow::Counts;
+use crate::flow::Incarnation;
 use crate::flow::Plane;
 use crate::flow::Presence;
+use crate::flow::Serial;
+use crate::flow::Testimony;
 use crate::flow::Timing;
 use crate::flow::Verdict;
 use crate::flow::directory::Record;
 use crate::id;
+use crate::replica;
+use crate::replica::Remark;
+use crate::replica::TELL_EVERY;
 use crate::replica::Update;
 
 /// Packets taken before anything else gets its turn.
@@ -64,6 +71,10 @@
     contact: Option<Instant>,
     /// Where changes come from; `None` for the store itself.
     upstream: Option<id::Instance>,
+    /// The copy of the store, and what instances tell each other.
+    replica: Arc<replica::Shared>,
+    /// When servers were last told of.
+    told: Instant,
     stop: Option<Stop>,
 }
 
@@ -85,7 +96,7 @@
     });
     let socket = Socket::bind(settings.packets, adapter.codec).await?;
     http::serve(settings.ready, settings.metrics, Arc::clone(&shared), &log).await?;
-    let mut updates = start::follow(&settings, &adapter, reader, &log).await?;
+    let (mut updates, replica) = start::follow(&settings, &adapter, reader, &log).await?;
     info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
         "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
     let now = Instant::now();
@@ -98,6 +109,8 @@
         log,
         contact: None,
         upstream: None,
+        replica,
+        told: now,
         stop: None,
         adapter,
         settings,
@@ -161,6 +174,7 @@
         }
         if is_drained {
             self.expire();
+            self.share();
         }
         self.report();
     }
@@ -207,6 +221,20 @@
         }
     }
 
+    /// Tells the zone what speaks against servers here, and hears what it counted.
+    fn share(&mut self) {
+        let now = Instant::now();
+        if now < self.told + TELL_EVERY {
+            return;
+        }
+        self.told = now;
+        let own = self.plane.testimony(now);
+        self.replica.board.set_own(own.iter().map(remark).collect());
+        let zone = self.replica.board.zone(now);
+        let zone = zone.iter().map(testimony).collect();
+        self.plane.learn(now, Belief::Testimony(zone));
+    }
+
     fn report(&mut self) {
         let now = Instant::now();
         let context = Context {
@@ -338,6 +366,28 @@
     }
 }
 
+fn remark(told: &Testimony) -> Remark {
+    Remark {
+        serial: told.serial.0,
+        incarnation: told.incarnation.map(|life| life.0),
+        answers: told.counts.answers as f32,
+        hollow: told.counts.hollow as f32,
+        stalls: told.counts.stalls as f32,
+    }
+}
+
+fn testimony(remark: &Remark) -> Testimony {
+    Testimony {
+        serial: Serial(remark.serial),
+        incarnation: remark.incarnation.map(Incarnation),
+        counts: Counts {
+            answers: remark.answers.into(),
+            hollow: remark.hollow.into(),
+            stalls: remark.stalls.into(),
+        },
+    }
+}
+
 fn server(record: &Record, now: Instant) -> Server {
     let age = |at: Instant| (now - at).as_millis() as u64;
     Server {
@@ -350,6 +400,7 @@
         missing_ms: record.missing_since.map(age),
         is_suspected: record.evidence.is_suspected(now),
         misses: record.evidence.misses(),
+        bad_percent: (record.experience.bad_share(now) * 100.0).round() as u32,
         heard_ms: record.evidence.last_alive().map(age),
         outstanding: record.outstanding,
         flows: record.flows,
@@ -368,6 +419,6 @@
         Belief::Unreadable(server) => Some(("server unreadable", server.to_string())),
         Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
         Belief::Neighbours(count) => Some(("instances in this zone", count.to_string())),
-        Belief::Contact(_) => None,
+        Belief::Contact(_) | Belief::Testimony(_) => None,
     }
 }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -126,7 +126,7 @@
     adapter: &Adapter,
     reader: Reader,
     log: &Logger,
-) -> Result<mpsc::Receiver<Update>> {
+) -> Result<(mpsc::Receiver<Update>, Arc<replica::Shared>)> {
     let listener = TcpListener::bind(settings.peers).await;
     let listener = listener.map_err(|source| Error::Io {
         step: "bind peer address",
@@ -160,7 +160,7 @@
         log: log.clone(),
     };
     tokio::spawn(replica::publish(listener, Arc::clone(&shared), log.clone()));
-    tokio::spawn(replica::follow(sources, shared, sender));
+    tokio::spawn(replica::follow(sources, Arc::clone(&shared), sender));
     tokio::spawn(replica::register(registration));
-    Ok(updates)
+    Ok((updates, shared))
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -53,6 +53,10 @@
     pub is_suspected: bool,
     /// Silences in a row.
     pub misses: u32,
+    /// Share of requests that seem to end badly there, in percent: those that fail
+    /// at once and those that are never answered.
+    #[serde(default)]
+    pub bad_percent: u32,
     /// Time since it last answered a caller of this instance, in milliseconds.
     pub heard_ms: Option<u64>,
     /// Requests of this instance in progress there.
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -11,18 +11,22 @@
 mod choice;
 pub(crate) mod directory;
 mod evidence;
+mod experience;
 mod note;
 mod plane;
 mod route;
 mod segment;
 mod table;
 mod tag;
+mod usual;
 
 pub use directory::Directory;
 pub use directory::Presence;
 pub use directory::Server;
 pub use directory::Target;
 pub use evidence::RoundTrip;
+pub use experience::Counts;
+pub use experience::Testimony;
 pub use note::Drop;
 pub use note::Note;
 pub use note::Timing;
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -20,6 +20,20 @@
 /// take 1.6 times as long then.
 const COLD_RATE: f64 = 0.6;
 
+/// Requests a slot that a server seems to have more when all requests end badly
+/// there; a share counts in proportion.
+///
+/// Load pattern: one server in ten answers errors at once, or hangs. Without this
+/// the first is always least loaded and draws work in, and the second gets a
+/// further request each time that a caller gives up. More than the margin of other
+/// zones, so that those are used before servers that fail.
+const BAD_PENALTY: f64 = 4.0;
+
+/// Share of bad ends that is no cause to avoid a server. Queues that fill for a moment
+/// make some requests look stalled; if each of them moved work away, all instances
+/// of a zone would move together from one server to the next.
+const TOLERATED_SHARE: f64 = 0.35;
+
 /// How a chosen server stood against the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Choice {
@@ -137,5 +151,11 @@
         1.0
     };
     let slots = f64::from(record.server.slots.max(1));
-    all / (slots * rate)
+    all / (slots * rate) + penalty(record.experience.bad_share(question.now))
+}
+
+/// What a share of bad ends adds to a server's load.
+fn penalty(bad_share: f64) -> f64 {
+    let excess = (bad_share - TOLERATED_SHARE).max(0.0);
+    BAD_PENALTY * excess / (1.0 - TOLERATED_SHARE)
 }
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -15,13 +15,20 @@
 use crate::flow::Incarnation;
 use crate::flow::Serial;
 use crate::flow::Tag;
+use crate::flow::Testimony;
 use crate::flow::evidence::Evidence;
+use crate::flow::experience::Experience;
+use crate::flow::usual::Usual;
 use crate::id;
 
 /// How long an entry that lapsed during an outage of the store may take to come
 /// back after it: the users' bound of 2 s, and half a second for its delivery.
 const RETURN_BOUND: Duration = Duration::from_millis(2_500);
 
+/// Servers that an instance tells others of at most. More that fail at once are
+/// hardly worth telling apart.
+const MOST_TESTIMONY: usize = 64;
+
 /// What a server says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -100,6 +107,7 @@
     pub(crate) draining_since: Option<Instant>,
     pub(crate) cold_until: Instant,
     pub(crate) evidence: Evidence,
+    pub(crate) experience: Experience,
     /// Requests of this instance that wait for the server's answer.
     pub(crate) outstanding: u32,
     /// Open flows that passed this instance.
@@ -119,6 +127,7 @@
             draining_since: draining_since(&server, None, now),
             cold_until: now + server.cold_for,
             evidence: Evidence::default(),
+            experience: Experience::default(),
             outstanding: 0,
             flows: 0,
             has_doubled_tag,
@@ -160,6 +169,8 @@
     pub(crate) home: Vec<Slot>,
     /// Those of other zones.
     pub(crate) away: Vec<Slot>,
+    /// What its answers usually are.
+    pub(crate) usual: Usual,
 }
 
 impl Pool {
@@ -409,6 +420,41 @@
         self.records().map(of).sum()
     }
 
+    /// What a server's answers usually are.
+    pub(crate) fn usual_mut(&mut self, slot: Slot) -> Option<&mut Usual> {
+        let service = &self.records.get(slot.index())?.as_ref()?.server.service;
+        self.by_service.get_mut(service).map(|pool| &mut pool.usual)
+    }
+
+    /// What this instance counted against servers, the worst first.
+    pub(crate) fn testimony(&self, now: Instant) -> Vec<Testimony> {
+        let told = self.records().filter_map(|record| {
+            Some(Testimony {
+                serial: record.server.serial,
+                incarnation: record.server.incarnation,
+                counts: record.experience.testimony(now)?,
+            })
+        });
+        let mut told: Vec<Testimony> = told.collect();
+        told.sort_by(|a, b| b.counts.bad_share().total_cmp(&a.counts.bad_share()));
+        told.truncate(MOST_TESTIMONY);
+        told
+    }
+
+    /// Takes over what the zone counted; of other lives nothing counts.
+    pub(crate) fn hear(&mut self, now: Instant, testimony: &[Testimony]) {
+        for told in testimony {
+            let slot = self.by_tag(Tag::of(told.serial));
+            let Some(record) = slot.and_then(|slot| self.get_mut(slot)) else {
+                continue;
+            };
+            let server = &record.server;
+            if (server.serial, server.incarnation) == (told.serial, told.incarnation) {
+                record.experience.hear(now, told.counts);
+            }
+        }
+    }
+
     pub(crate) fn by_tag(&self, tag: Tag) -> Option<Slot> {
         self.by_tag.get(&tag).copied()
     }
--- a/src/flow/note.rs
+++ b/src/flow/note.rs
@@ -115,6 +115,15 @@
         /// Silences in a row.
         misses: u32,
     },
+    /// A request has been open for much longer than usual.
+    Stalled {
+        /// The flow.
+        pair: Pair,
+        /// The server.
+        server: id::Server,
+        /// Since when, in milliseconds.
+        waited_ms: u64,
+    },
     /// A suspected server has answered.
     Cleared {
         /// The server.
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod carry;
+mod ending;
 mod opening;
 
 use std::cmp::Reverse;
@@ -22,11 +23,13 @@
 use crate::flow::Segment;
 use crate::flow::Server;
 use crate::flow::Target;
+use crate::flow::Testimony;
 use crate::flow::Timing;
 use crate::flow::choice;
 use crate::flow::choice::Choice;
 use crate::flow::choice::Question;
 use crate::flow::directory::Slot;
+use crate::flow::plane::ending::Watch;
 use crate::flow::table::Flow;
 use crate::flow::table::Opening;
 use crate::flow::table::Table;
@@ -73,6 +76,8 @@
     Routes(Routes),
     /// Instances that share this zone's callers, this one included.
     Neighbours(usize),
+    /// What the instances of this zone counted against servers.
+    Testimony(Vec<Testimony>),
     /// Whether the store answers.
     Contact(bool),
 }
@@ -111,9 +116,13 @@
     due: BinaryHeap<Reverse<(Instant, Pair)>>,
     /// New flows of the last moments, oldest first.
     openings: VecDeque<(Instant, Pair)>,
+    /// Requests in progress, the first due first.
+    watches: VecDeque<Watch>,
     round_trip: RoundTrip,
     /// When a packet of an open flow last came.
     heard: Option<Instant>,
+    /// When a packet last came of a flow that had opened elsewhere.
+    turned: Option<Instant>,
     swept: Option<Instant>,
     random: SmallRng,
     notes: Vec<Note>,
@@ -133,8 +142,10 @@
             table: Table::new(options.max_flows),
             due: BinaryHeap::new(),
             openings: VecDeque::new(),
+            watches: VecDeque::new(),
             round_trip: RoundTrip::default(),
             heard: None,
+            turned: None,
             swept: None,
             random: SmallRng::seed_from_u64(options.seed),
             notes: Vec::new(),
@@ -155,6 +166,7 @@
             Belief::Unreadable(server) => self.directory.mark_unreadable(&server),
             Belief::Gone(server) => self.directory.remove(now, &server),
             Belief::Routes(routes) => return self.configure(routes),
+            Belief::Testimony(told) => self.directory.hear(now, &told),
             Belief::Neighbours(count) => self.neighbours = count.max(1),
             Belief::Contact(is_answering) => self.directory.contact(now, is_answering),
         }
@@ -192,6 +204,11 @@
         &self.directory
     }
 
+    /// What this instance counted against servers, the worst first.
+    pub fn testimony(&self, now: Instant) -> Vec<Testimony> {
+        self.directory.testimony(now)
+    }
+
     /// Flows remembered.
     pub fn flows(&self) -> usize {
         self.table.len()
--- a/src/flow/plane/carry.rs
+++ b/src/flow/plane/carry.rs
@@ -55,6 +55,7 @@
         if !self.table.has_room() || segment.flags.fin || segment.flags.rst {
             return None;
         }
+        self.turned = Some(now);
         let key = self.table.insert(Flow::adopted(segment, slot, now));
         self.count_flow(slot);
         Some(key)
@@ -119,6 +120,18 @@
             record.outstanding = record.outstanding.saturating_sub(ended);
             record.outstanding += u32::from(progress.has_begun);
         }
+        if let Some(answer) = progress.ended {
+            self.count_end(server, answer, now);
+        }
+        if progress.has_begun {
+            self.watch(segment.pair, server, now);
+        }
+        if segment.flags.fin {
+            let ended = self.table.get_mut(key).and_then(|flow| flow.end_answer());
+            if let Some(answer) = ended {
+                self.count_end(server, answer, now);
+            }
+        }
         if segment.flags.fin || segment.flags.rst {
             self.begin_closing(key);
         }
--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -56,7 +56,9 @@
 
     /// When [`Plane::expire`] has something to do next.
     pub fn next_due(&self) -> Option<Instant> {
-        self.due.peek().map(|Reverse((due, _))| *due)
+        let opening = self.due.peek().map(|Reverse((due, _))| *due);
+        let request = self.watches.front().map(|watch| watch.due);
+        opening.into_iter().chain(request).min()
     }
 
     /// Sends opening packets whose servers are silent to further servers, and
@@ -77,6 +79,7 @@
             }
             resends.extend(self.reopen(now, key));
         }
+        self.find_stalls(now);
         self.sweep(now);
         resends
     }
--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -2,6 +2,7 @@
 
 use std::hash::BuildHasher;
 use std::hash::RandomState;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use hashbrown::HashTable;
@@ -43,6 +44,8 @@
     pub(crate) has_begun: bool,
     /// How long the request in progress took, if its answer's first bytes came.
     pub(crate) took: Option<Duration>,
+    /// The answer to the request before that has ended.
+    pub(crate) ended: Option<Answer>,
     /// How often the caller has repeated the same bytes.
     pub(crate) repeats: u32,
 }
@@ -63,6 +66,10 @@
     pub(crate) seen: Instant,
     /// When the request in progress began.
     pub(crate) asked: Option<Instant>,
+    /// How long the answer to the last request took, until it has ended.
+    took: Option<NonZeroU32>,
+    /// The acknowledgement when that request began.
+    ack_asked: u32,
     /// After the last byte sent.
     end: u32,
     /// The caller's greatest acknowledgement.
@@ -82,6 +89,8 @@
             born: now,
             seen: now,
             asked: None,
+            took: None,
+            ack_asked: 0,
             end: segment.seq.wrapping_add(1),
             ack: 0,
             repeats: 0,
@@ -100,6 +109,8 @@
             born: now,
             seen: now,
             asked: None,
+            took: None,
+            ack_asked: segment.ack,
             end: segment.seq,
             ack: segment.ack,
             repeats: 0,
@@ -120,6 +131,15 @@
         self.end = segment.seq;
     }
 
+    /// Ends the answer to the last request, if it has one.
+    pub(crate) fn end_answer(&mut self) -> Option<Answer> {
+        let micros = self.took.take()?;
+        Some(Answer {
+            took: Duration::from_micros(micros.get().into()),
+            bytes: self.ack.wrapping_sub(self.ack_asked),
+        })
+    }
+
     /// Reads the progress of an open flow from one of its packets.
     pub(crate) fn advance(&mut self, segment: &Segment, now: Instant) -> Progress {
         self.seen = now;
@@ -128,6 +148,8 @@
             self.ack = segment.ack;
             progress.has_answered = true;
             progress.took = self.asked.take().map(|asked| now - asked);
+            let micros = progress.took.map(|took| took.as_micros() as u32);
+            self.took = micros.map_or(self.took, |micros| NonZeroU32::new(micros.max(1)));
         }
         if segment.len == 0 {
             return progress;
@@ -137,7 +159,9 @@
             self.repeats = 0;
             self.repeated_end = None;
             if self.asked.is_none() {
+                progress.ended = self.end_answer();
                 self.asked = Some(now);
+                self.ack_asked = self.ack;
                 progress.has_begun = true;
             }
             return progress;
@@ -152,6 +176,14 @@
     }
 }
 
+/// An answer that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    /// From the request's first packet to the acknowledgement of its first bytes.
+    pub(crate) took: Duration,
+    pub(crate) bytes: u32,
+}
+
 /// Where a flow lies in the table; stays valid until the flow is taken out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Key(u32);
--- a/src/render.rs
+++ b/src/render.rs
@@ -138,6 +138,7 @@
         "missing ms",
         "heard ms",
         "misses",
+        "bad %",
         "requests",
         "flows",
     ]);
@@ -150,6 +151,7 @@
             optional(server.missing_ms),
             optional(server.heard_ms),
             server.misses.to_string(),
+            server.bad_percent.to_string(),
             server.outstanding.to_string(),
             server.flows.to_string(),
         ]);
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -15,6 +15,7 @@
 //! few more calls, since subscriptions always lead to a smaller rank.
 
 mod bandwidth;
+mod board;
 mod copy;
 mod follow;
 mod inbox;
@@ -28,6 +29,7 @@
 mod subscribe;
 mod tree;
 
+pub(crate) use board::TELL_EVERY;
 pub(crate) use copy::Shared;
 pub(crate) use follow::Sources;
 pub(crate) use follow::follow;
@@ -37,6 +39,9 @@
 pub(crate) use register::register;
 
 pub use bandwidth::Bandwidth;
+pub use board::Board;
+pub use board::Remark;
+pub use board::Remarks;
 pub use copy::Copy;
 pub use copy::Place;
 pub use copy::Snapshot;
--- /dev/null
+++ b/src/replica/board.rs
@@ -0,0 +1,218 @@
+//! What the instances of a zone tell each other of servers, along the tree of
+//! subscriptions: counts are added up on the way up, and the sum goes down.
+//!
+//! With 23 instances in a zone each sends a server less than one request a second.
+//! A server that hangs or fails takes a request from each of them before each
+//! knows; together they know after two or three.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::time::Instant;
+
+use crate::replica::tree::FAN_OUT;
+
+/// Time between two messages while there is something to tell. What one instance
+/// saw is known to all after two steps up and two down, within a second.
+pub(crate) const TELL_EVERY: Duration = Duration::from_millis(200);
+
+/// Age at which what somebody told is forgotten: five messages missed.
+const MOST_AGE: Duration = Duration::from_secs(1);
+
+/// Servers in one message. At 30 bytes each and five messages a second to sixteen
+/// subscribers this is 40 KB a second, and only while servers fail.
+const MOST_REMARKS: usize = 16;
+
+/// What one instance's counts are worth at most, so that one that is confused or
+/// lies moves the others little.
+const MOST_ANSWERS: f32 = 64.0;
+const MOST_HOLLOW: f32 = 4.0;
+const MOST_STALLS: f32 = 2.0;
+
+/// Instances that a subscriber may speak for: itself and those below it.
+const MOST_INSTANCES: u32 = 1 + FAN_OUT as u32;
+
+/// Ends of requests at one server, counted by one or several instances.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Remark {
+    /// What datagrams to the server are named with.
+    #[prost(fixed64, tag = "1")]
+    pub serial: u64,
+    /// The server's life; none when it does not tell.
+    #[prost(uint64, optional, tag = "2")]
+    pub incarnation: Option<u64>,
+    /// Requests that were answered.
+    #[prost(float, tag = "3")]
+    pub answers: f32,
+    /// Those of them that ended too soon with too little.
+    #[prost(float, tag = "4")]
+    pub hollow: f32,
+    /// Requests open for too long.
+    #[prost(float, tag = "5")]
+    pub stalls: f32,
+}
+
+/// What a subscriber tells the instance above it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Remarks {
+    /// One for each server that something speaks against.
+    #[prost(message, repeated, tag = "1")]
+    pub remarks: Vec<Remark>,
+    /// Instances that counted, the subscriber included.
+    #[prost(uint32, tag = "2")]
+    pub instances: u32,
+}
+
+type Key = (u64, Option<u64>);
+
+impl Remark {
+    fn key(&self) -> Key {
+        (self.serial, self.incarnation)
+    }
+
+    /// Limits what so many instances can have counted; rubbish counts nothing.
+    fn limited(self, instances: u32) -> Self {
+        let limit = |count: f32, most: f32| {
+            let most = most * instances as f32;
+            if count.is_finite() {
+                count.clamp(0.0, most)
+            } else {
+                0.0
+            }
+        };
+        Self {
+            answers: limit(self.answers, MOST_ANSWERS),
+            hollow: limit(self.hollow, MOST_HOLLOW),
+            stalls: limit(self.stalls, MOST_STALLS),
+            ..self
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.hollow += other.hollow;
+        self.stalls += other.stalls;
+    }
+
+    fn weight(&self) -> f32 {
+        self.hollow + self.stalls
+    }
+}
+
+/// What was told, and when.
+#[derive(Debug)]
+struct Told {
+    at: Instant,
+    remarks: Remarks,
+}
+
+impl Told {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now < self.at + MOST_AGE
+    }
+}
+
+#[derive(Debug, Default)]
+struct Sides {
+    own: Vec<Remark>,
+    below: HashMap<u64, Told>,
+    above: Option<Told>,
+    next_subscriber: u64,
+}
+
+/// What is known from this instance, from those below and from above.
+///
+/// Its lock is a leaf.
+#[derive(Debug, Default)]
+pub struct Board {
+    sides: Mutex<Sides>,
+}
+
+impl Board {
+    fn lock(&self) -> MutexGuard<'_, Sides> {
+        self.sides.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what this instance counted, the worst first.
+    pub fn set_own(&self, own: Vec<Remark>) {
+        self.lock().own = own;
+    }
+
+    /// A number for a subscriber, under which it is heard.
+    pub fn enter(&self) -> u64 {
+        let mut sides = self.lock();
+        sides.next_subscriber += 1;
+        sides.next_subscriber
+    }
+
+    /// Takes in what a subscriber tells.
+    pub fn hear_below(&self, now: Instant, subscriber: u64, remarks: Remarks) {
+        let told = Told { at: now, remarks };
+        self.lock().below.insert(subscriber, told);
+    }
+
+    /// Forgets a subscriber that has left.
+    pub fn leave(&self, subscriber: u64) {
+        self.lock().below.remove(&subscriber);
+    }
+
+    /// Takes in what the instance above tells.
+    pub fn hear_above(&self, now: Instant, remarks: Vec<Remark>) {
+        let remarks = Remarks {
+            remarks,
+            instances: MOST_INSTANCES,
+        };
+        self.lock().above = Some(Told { at: now, remarks });
+    }
+
+    /// What to tell the instance above: this instance's counts and those below.
+    pub fn upward(&self, now: Instant) -> Remarks {
+        let sides = self.lock();
+        let mut sums: BTreeMap<Key, Remark> = BTreeMap::new();
+        let mut add = |remark: Remark| {
+            let sum = sums.entry(remark.key()).or_insert(Remark {
+                serial: remark.serial,
+                incarnation: remark.incarnation,
+                ..Remark::default()
+            });
+            sum.add(&remark);
+        };
+        for remark in &sides.own {
+            add(remark.limited(1));
+        }
+        let mut instances = 1;
+        let fresh = sides.below.values().filter(|told| told.is_fresh(now));
+        for told in fresh {
+            let count = told.remarks.instances.clamp(1, MOST_INSTANCES);
+            instances += count;
+            // One that names a server many times counts once.
+            let remarks = told.remarks.remarks.iter().take(MOST_REMARKS);
+            let remarks: BTreeMap<Key, &Remark> = remarks.map(|r| (r.key(), r)).collect();
+            for remark in remarks.values() {
+                add(remark.limited(count));
+            }
+        }
+        let mut remarks: Vec<Remark> = sums.into_values().collect();
+        remarks.sort_by(|a, b| b.weight().total_cmp(&a.weight()));
+        remarks.truncate(MOST_REMARKS);
+        Remarks { remarks, instances }
+    }
+
+    /// What the zone counted, as far as it is known here: what is told from above,
+    /// or the sum of this instance and those below where nobody is above.
+    pub fn zone(&self, now: Instant) -> Vec<Remark> {
+        let sides = self.lock();
+        let above = sides.above.as_ref().filter(|told| told.is_fresh(now));
+        if let Some(told) = above {
+            let remarks = told.remarks.remarks.iter().take(MOST_REMARKS);
+            return remarks.map(|r| r.limited(MOST_INSTANCES)).collect();
+        }
+        drop(sides);
+        self.upward(now).remarks
+    }
+}
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -26,6 +26,7 @@
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::platform::poll::Refusal;
+use crate::replica::board::Board;
 use crate::replica::message::Held;
 use crate::replica::pacer::Pacer;
 use crate::replica::pack::Base;
@@ -272,6 +273,8 @@
     pub(crate) shelf: Shelf,
     /// Bytes a second that go to all subscribers together.
     pub(crate) pacer: Pacer,
+    /// What the instances of the zone tell each other of servers.
+    pub(crate) board: Board,
 }
 
 impl Shared {
@@ -282,6 +285,7 @@
             subscribers: AtomicUsize::new(0),
             shelf: Shelf::default(),
             pacer,
+            board: Board::default(),
         }
     }
 
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -142,7 +142,9 @@
     }
 
     async fn take(&mut self, report: Report) -> Result<(), End> {
-        let contact = report.age.map(|age| Instant::now() - age);
+        let now = Instant::now();
+        let contact = report.age.map(|age| now - age);
+        self.shared.board.hear_above(now, report.remarks);
         let revision = report.revision;
         if report.is_everything {
             let entries = report
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -10,6 +10,7 @@
 
 use crate::replica::Member;
 use crate::replica::Update;
+use crate::replica::board::TELL_EVERY;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
 use crate::replica::subscribe;
@@ -111,10 +112,22 @@
         }
         self.tell_source(peer).await?;
         self.resting.remove(&peer);
+        let mut has_told = false;
+        let mut tell_at = Instant::now();
         let error = loop {
-            match subscription.next().await {
-                Ok(report) => self.take(report).await?,
-                Err(error) => break error.to_string(),
+            let next = tokio::select! {
+                next = subscription.next() => Some(next),
+                () = time::sleep_until(tell_at) => None,
+            };
+            match next {
+                Some(Ok(report)) => self.take(report).await?,
+                Some(Err(error)) => break error.to_string(),
+                None => {
+                    tell_at = Instant::now() + TELL_EVERY;
+                    if let Err(error) = self.tell(&mut subscription, &mut has_told).await {
+                        break error.to_string();
+                    }
+                }
             }
             if self.is_old() {
                 break "no contact with the store".to_owned();
@@ -132,6 +145,21 @@
         self.catch_up().await
     }
 
+    /// Tells the upstream what speaks against servers, and once that nothing does.
+    async fn tell(
+        &self,
+        subscription: &mut Subscription,
+        has_told: &mut bool,
+    ) -> crate::Result<()> {
+        let remarks = self.shared.board.upward(Instant::now());
+        let has_remarks = !remarks.remarks.is_empty();
+        if has_remarks || *has_told {
+            subscription.tell(&remarks).await?;
+        }
+        *has_told = has_remarks;
+        Ok(())
+    }
+
     /// Subscribes, and waits for a whole copy if one is on its way.
     async fn join(&self, peer: SocketAddrV4) -> crate::Result<(Subscription, Report)> {
         let me = &self.sources.me.instance;
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -14,6 +14,7 @@
 use crate::error::Result;
 use crate::platform;
 use crate::platform::Change;
+use crate::replica::board::Remark;
 use crate::replica::pack::Base;
 
 /// Largest message, in bytes: 6,400 small rows at once.
@@ -128,6 +129,9 @@
     /// Whether a whole copy is on its way.
     #[prost(bool, tag = "6")]
     pub awaits_copy: bool,
+    /// What the zone's instances counted against servers.
+    #[prost(message, repeated, tag = "7")]
+    pub remarks: Vec<Remark>,
 }
 
 impl From<&Base> for Held {
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -120,6 +120,7 @@
             age_ms: age_ms.filter(|_| !awaits_copy),
             part,
             awaits_copy: awaits_copy && copy.horizon().is_some(),
+            remarks: Vec::new(),
         })
     }
 
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -21,6 +21,8 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::replica::Shared;
+use crate::replica::board::Remarks;
+use crate::replica::board::TELL_EVERY;
 use crate::replica::message;
 use crate::replica::message::News;
 use crate::replica::message::Subscribe;
@@ -88,26 +90,60 @@
     let subscribe: Subscribe = read(&mut framed, peer).await?;
     info!(log, "subscriber joined"; "subscriber" => &subscribe.instance,
         "peer" => %peer, "horizon" => subscribe.horizon, "held" => subscribe.held.len());
-    let mut outbox = Outbox::new(&subscribe, shared.known(&subscribe.held));
+    let subscriber = shared.board.enter();
+    let outcome = feed(&mut framed, peer, shared, &subscribe, subscriber).await;
+    shared.board.leave(subscriber);
+    outcome
+}
+
+async fn feed(
+    framed: &mut Stream,
+    peer: SocketAddr,
+    shared: &Arc<Shared>,
+    subscribe: &Subscribe,
+    subscriber: u64,
+) -> Result<()> {
+    let mut outbox = Outbox::new(subscribe, shared.known(&subscribe.held));
     let mut changed = shared.watch();
     loop {
         changed.mark_unchanged();
         let news = compose(shared, &mut outbox, peer)?;
         let is_more = news.part.is_some();
-        send(&mut framed, peer, &news).await?;
+        let has_remarks = !news.remarks.is_empty();
+        send(framed, peer, &news).await?;
         if is_more && outbox.has_parts() {
             continue;
         }
-        // The copy outlives this task, so that the channel never closes; a change
-        // and a pause mean the same here.
-        tokio::select! {
-            _ = changed.changed() => {}
-            () = shared.pacer.rest(), if outbox.next_part().is_some() => {}
-            () = time::sleep(HEARTBEAT) => {}
+        let pause = if has_remarks { TELL_EVERY } else { HEARTBEAT };
+        let next = Instant::now() + pause;
+        // What the subscriber tells is no cause to answer: each answer would be one
+        // for it to tell again, without end.
+        loop {
+            // The copy outlives this task, so that the channel never closes; a change
+            // and a pause mean the same here.
+            tokio::select! {
+                _ = changed.changed() => break,
+                () = shared.pacer.rest(), if outbox.next_part().is_some() => break,
+                () = time::sleep_until(next) => break,
+                remarks = hear(framed, peer) => {
+                    shared.board.hear_below(Instant::now(), subscriber, remarks?);
+                }
+            }
         }
     }
 }
 
+/// What the subscriber tells of servers.
+async fn hear(framed: &mut Stream, peer: SocketAddr) -> Result<Remarks> {
+    const STEP: &str = "remarks of subscriber";
+    let frame = framed
+        .next()
+        .await
+        .ok_or_else(|| lost(STEP, peer, "closed"))?;
+    let frame = frame.map_err(|error| lost(STEP, peer, error))?;
+    message::decode(STEP, &peer.to_string(), frame)
+}
+
 /// The next message, of which parts are counted against the pace.
 fn compose(shared: &Shared, outbox: &mut Outbox, peer: SocketAddr) -> Result<News> {
     let now = Instant::now();
@@ -115,7 +151,8 @@
     let pack = |value: &Base, base: Option<&Base>| shared.shelf.pack(value, base);
     let may_send = |bytes: usize| shared.pacer.may_send(bytes, now);
     let news = shared.look(|copy| outbox.compose(copy, age_ms, &pack, may_send));
-    let news = news.map_err(|error| lost("packing for subscriber", peer, error))?;
+    let mut news = news.map_err(|error| lost("packing for subscriber", peer, error))?;
+    news.remarks = shared.board.zone(now);
     let rows: usize = news.rows.iter().map(Message::encoded_len).sum();
     shared.pacer.count(rows, now);
     Ok(news)
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -10,6 +10,7 @@
 use prost::Message;
 use tokio::net::TcpStream;
 use tokio::time;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -18,6 +19,8 @@
 use crate::id;
 use crate::platform::Change;
 use crate::platform::Entry;
+use crate::replica::board::Remark;
+use crate::replica::board::Remarks;
 use crate::replica::inbox::Complete;
 use crate::replica::inbox::Inbox;
 use crate::replica::message;
@@ -48,6 +51,8 @@
     pub(crate) age: Option<Duration>,
     /// Whether a whole copy is on its way.
     pub(crate) awaits_copy: bool,
+    /// What the zone's instances counted against servers.
+    pub(crate) remarks: Vec<Remark>,
 }
 
 /// A subscription that stands.
@@ -55,6 +60,8 @@
     framed: Framed<TcpStream, LengthDelimitedCodec>,
     inbox: Inbox,
     peer: SocketAddrV4,
+    /// When it was last heard.
+    heard: Instant,
 }
 
 impl Subscription {
@@ -78,6 +85,7 @@
                 framed,
                 inbox: Inbox::new(bases),
                 peer,
+                heard: Instant::now(),
             };
             subscription.ask(&subscribe).await?;
             let report = subscription.next().await?;
@@ -93,13 +101,22 @@
         sent.map_err(|error| lost(self.peer, error))
     }
 
+    /// Tells the upstream of servers.
+    pub(crate) async fn tell(&mut self, remarks: &Remarks) -> Result<()> {
+        let bytes: Bytes = remarks.encode_to_vec().into();
+        let sent = time::timeout(SILENCE, self.framed.send(bytes)).await;
+        let sent = sent.map_err(|_| lost(self.peer, "takes nothing"))?;
+        sent.map_err(|error| lost(self.peer, error))
+    }
+
     /// The next message; an error when it stays away. A part of a large value is
     /// a message like any other: a link that is slow is not silent.
     pub(crate) async fn next(&mut self) -> Result<Report> {
-        let next = time::timeout(SILENCE, self.framed.next()).await;
+        let next = time::timeout_at(self.heard + SILENCE, self.framed.next()).await;
         let next = next.map_err(|_| lost(self.peer, "silent"))?;
         let frame = next.ok_or_else(|| lost(self.peer, "closed"))?;
         let frame = frame.map_err(|error| lost(self.peer, error))?;
+        self.heard = Instant::now();
         let news: News = message::decode("news from upstream", &self.peer.to_string(), frame)?;
         self.read(news)
     }
@@ -111,6 +128,7 @@
             revision: news.revision,
             age: news.age_ms.map(Duration::from_millis),
             awaits_copy: news.awaits_copy,
+            remarks: news.remarks,
         };
         let Some(part) = news.part else {
             return Ok(report);
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod config;
+mod experience;
 mod forget;
 mod gone;
 mod incarnation;
--- /dev/null
+++ b/tests/replication/board.rs
@@ -0,0 +1,86 @@
+//! What instances of a zone tell each other of servers.
+
+use std::time::Duration;
+
+use godwitreel::replica::Board;
+use godwitreel::replica::Remark;
+use godwitreel::replica::Remarks;
+use tokio::time::Instant;
+
+fn remark(serial: u64, answers: f32, stalls: f32) -> Remark {
+    Remark {
+        serial,
+        incarnation: Some(5),
+        answers,
+        hollow: 0.0,
+        stalls,
+    }
+}
+
+fn from(instances: u32, remarks: Vec<Remark>) -> Remarks {
+    Remarks { remarks, instances }
+}
+
+#[test]
+fn counts_are_added_up_on_the_way_up() {
+    let now = Instant::now();
+    let board = Board::default();
+    board.set_own(vec![remark(1, 4.0, 1.0)]);
+    let (first, second) = (board.enter(), board.enter());
+    board.hear_below(now, first, from(3, vec![remark(1, 2.0, 1.5)]));
+    board.hear_below(now, second, from(1, vec![remark(2, 1.0, 1.0)]));
+    let up = board.upward(now);
+    assert_eq!(up.instances, 5);
+    assert_eq!(up.remarks, vec![remark(1, 6.0, 2.5), remark(2, 1.0, 1.0)]);
+    assert_eq!(board.zone(now), up.remarks, "nobody is above");
+    board.leave(second);
+    assert_eq!(board.upward(now).remarks.len(), 1);
+}
+
+#[test]
+fn the_sum_comes_down_from_above() {
+    let now = Instant::now();
+    let board = Board::default();
+    board.set_own(vec![remark(1, 4.0, 1.0)]);
+    board.hear_above(now, vec![remark(1, 90.0, 2.0)]);
+    assert_eq!(board.zone(now), vec![remark(1, 90.0, 2.0)]);
+    assert_eq!(board.upward(now).remarks, vec![remark(1, 4.0, 1.0)]);
+}
+
+// The instance above is frozen or gone, a subscriber is cut off: what they said
+// must not count for ever.
+#[test]
+fn what_was_told_long_ago_is_forgotten() {
+    let now = Instant::now();
+    let board = Board::default();
+    let below = board.enter();
+    board.hear_below(now, below, from(1, vec![remark(1, 0.0, 1.0)]));
+    board.hear_above(now, vec![remark(2, 0.0, 1.0)]);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(board.zone(later), Vec::new());
+    assert_eq!(board.upward(later), from(1, Vec::new()));
+}
+
+// One instance lies, or is confused. It can say no more than one instance can have
+// seen, for no more servers than a message holds, and rubbish counts nothing.
+#[test]
+fn one_instance_moves_the_sum_little() {
+    let now = Instant::now();
+    let board = Board::default();
+    let liar = board.enter();
+    let wild = Remark {
+        hollow: f32::NAN,
+        answers: -7.0,
+        stalls: 1e30,
+        ..remark(1, 0.0, 0.0)
+    };
+    board.hear_below(now, liar, from(1, vec![wild; 500]));
+    let sum = board.upward(now).remarks[0];
+    assert_eq!((sum.answers, sum.hollow), (0.0, 0.0));
+    assert_eq!(sum.stalls, 2.0, "once, and within its limit");
+    let many: Vec<Remark> = (0..500).map(|serial| remark(serial, 0.0, 1.0)).collect();
+    board.hear_below(now, liar, from(u32::MAX, many));
+    let up = board.upward(now);
+    assert_eq!(up.remarks.len(), 16);
+    assert_eq!(up.instances, 18, "itself and at most a whole branch");
+}
--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -1,6 +1,7 @@
 //! Copies of the store passed from instance to instance: what is sent, in which
 //! order, and what arrives.
 
+mod board;
 mod copy;
 mod parcels;
 mod storm;
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -25,6 +25,7 @@
         missing_ms: None,
         is_suspected: false,
         misses: 0,
+        bad_percent: 0,
         heard_ms: Some(12),
         outstanding: 3,
         flows: 40,
