--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -151,11 +151,11 @@
         1.0
     };
     let slots = f64::from(record.server.slots.max(1));
-    all / (slots * rate) + penalty(record.experience.bad_share(question.now))
+    all / (slots * rate) + record.penalty
 }
 
 /// What a share of bad ends adds to a server's load.
-fn penalty(bad_share: f64) -> f64 {
+pub(crate) fn penalty(bad_share: f64) -> f64 {
     let excess = (bad_share - TOLERATED_SHARE).max(0.0);
     BAD_PENALTY * excess / (1.0 - TOLERATED_SHARE)
 }
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -16,6 +16,7 @@
 use crate::flow::Serial;
 use crate::flow::Tag;
 use crate::flow::Testimony;
+use crate::flow::choice;
 use crate::flow::evidence::Evidence;
 use crate::flow::experience::Experience;
 use crate::flow::usual::Usual;
@@ -112,6 +113,8 @@
     pub(crate) outstanding: u32,
     /// Open flows that passed this instance.
     pub(crate) flows: u32,
+    /// What its share of bad ends adds to its load, as of the last look.
+    pub(crate) penalty: f64,
     /// Whether an older server has the same tag, so that this one's flows could
     /// not be told from that one's.
     has_doubled_tag: bool,
@@ -130,6 +133,7 @@
             experience: Experience::default(),
             outstanding: 0,
             flows: 0,
+            penalty: 0.0,
             has_doubled_tag,
             server,
         }
@@ -143,6 +147,12 @@
         }
     }
 
+    /// Works out the penalty anew. A choice looks at dozens of servers, and most of
+    /// them give no cause for any arithmetic.
+    pub(crate) fn weigh(&mut self, now: Instant) {
+        self.penalty = choice::penalty(self.experience.bad_share(now));
+    }
+
     /// Whether new flows may go there.
     pub(crate) fn is_open(&self) -> bool {
         self.may_open() && !self.is_unreadable
@@ -453,6 +463,14 @@
                 record.experience.hear(now, told.counts);
             }
         }
+        self.weigh(now);
+    }
+
+    /// Works out all penalties anew: counts fade.
+    pub(crate) fn weigh(&mut self, now: Instant) {
+        for record in self.records.iter_mut().flatten() {
+            record.weigh(now);
+        }
     }
 
     pub(crate) fn by_tag(&self, tag: Tag) -> Option<Slot> {
--- a/src/flow/plane/account.rs
+++ b/src/flow/plane/account.rs
@@ -106,6 +106,7 @@
         }
         if is_round {
             self.directory.forget(now);
+            self.directory.weigh(now);
         }
     }
 }
--- a/src/flow/plane/ending.rs
+++ b/src/flow/plane/ending.rs
@@ -44,6 +44,7 @@
         let is_hollow = usual.sample(answer.took, answer.bytes);
         if let Some(record) = self.directory.get_mut(slot) {
             record.experience.answered(now, is_hollow);
+            record.weigh(now);
         }
     }
 
@@ -71,6 +72,7 @@
                 continue;
             };
             record.experience.stalled(now);
+            record.weigh(now);
             let note = Note::Stalled {
                 pair: watch.pair,
                 server: record.server.id.clone(),
