--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -156,7 +156,10 @@
                 });
             let refused = Vec::new();
             self.reset(entries.collect(), refused, revision).await?;
-        } else if !report.awaits_copy {
+        } else if !report.awaits_copy && self.shared.horizon().is_some() {
+            // Whoever has nothing yet learns nothing from an instance that has nothing
+            // either, itself for one: it would take the empty copy for a whole one and
+            // ask no further seed while the store is away.
             self.apply(report.changes, revision).await?;
         }
         let Some(contact) = contact else {
