--- a/tests/flow/incarnation.rs
+++ b/tests/flow/incarnation.rs
@@ -59,6 +59,25 @@
     assert_eq!(closed, 20, "the ends of the second server's ten flows only");
 }
 
+// Callers go on with flows that the former life held. What they send must not make
+// the new one look busy: it resets them, and nothing tells their end here.
+#[test]
+fn flows_of_a_former_life_are_no_load_of_the_new_one() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![born(1, 10)]);
+    let callers: Vec<Caller> = (1..11).map(|port| Caller::new(port, BOOKINGS)).collect();
+    for caller in &callers {
+        open(&mut plane, now, caller);
+    }
+    plane.learn(now + ms(10), Belief::Server(born(1, 20)));
+    assert_eq!(plane.directory().load(), 0);
+    let tag = godwitreel::flow::Tag::of(godwitreel::flow::Serial(1));
+    for caller in &callers {
+        plane.receive(now + ms(20), &caller.data(100, tag), b"");
+    }
+    assert_eq!(plane.directory().load(), 0);
+}
+
 // Entry first: the caller of an open flow does not know that its server has
 // started again. Its next packet goes to the new life, which resets it at once;
 // a reset of ours could hit a flow that the new life has opened meanwhile.
@@ -170,7 +189,8 @@
         .expect("one of many goes to the first");
     let tag = godwitreel::flow::Tag::of(godwitreel::flow::Serial(1));
     plane.learn(now + ms(10), Belief::Unreadable("s-1".parse().unwrap()));
-    for port in 100..120 {
+    // Many, so that the other one is busier by far in the end.
+    for port in 100..180 {
         assert_eq!(opening(&mut plane, now + ms(20), port).serial.0, 2);
     }
     let verdict = plane.receive(now + ms(9_000), &caller.data(0, tag), b"");
