--- a/src/replica.rs
+++ b/src/replica.rs
@@ -7,9 +7,14 @@
 //! goes the age of the last contact with the store, so that an instance whose
 //! upstream is cut off, frozen or gone notices in time and asks the store itself.
 //!
-//! An instance that starts gets its first copy the same way where the store holds
-//! more than a page, and a subscriber that had to go further up moves back down
-//! once the instance that is meant to feed it can be reached.
+//! An instance that starts gets its first copy from the heads of its zone, the
+//! three first by rank, which also stand in for an upstream that is cut off. A
+//! subscriber that had to go further up moves back down once the instance that is
+//! meant to feed it can be reached.
+//!
+//! Subscribers are told the newest change of a key, small ones at once, large ones
+//! in parts and as what is new in them. Up the same connections go counts of how
+//! requests end at servers, and their sum comes down.
 //!
 //! Ranks need no agreement. Two instances that disagree about them only cause a
 //! few more calls, since subscriptions always lead to a smaller rank.
