Entries that come back at once silence an upstream: failing tests, listed as known red

Same cause as with whole configurations, found by looking for it elsewhere: small rows go in one message however many there are, and a subscriber counts as silent whatever is on its way.

--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -4,5 +4,6 @@
 mod board;
 mod copy;
 mod parcels;
+mod rows;
 mod storm;
 mod support;
--- a/tests/replication/storm.rs
+++ b/tests/replication/storm.rs
@@ -40,13 +40,15 @@
     to: usize,
     subscription: Subscription,
     sending: Option<Sending>,
+    /// When messages arrived.
+    arrivals: Vec<usize>,
 }
 
 /// Instances that pass on what the first one learns.
-struct Tree {
+pub(crate) struct Tree {
     begin: Instant,
     /// Milliseconds since the begin.
-    now: usize,
+    pub(crate) now: usize,
     copies: Vec<Copy>,
     pacers: Vec<Bucket>,
     connections: Vec<Connection>,
@@ -59,7 +61,7 @@
 
 impl Tree {
     /// So many instances, each subscribed to the one above it.
-    fn new(count: usize, first: &Copy) -> Self {
+    pub(crate) fn new(count: usize, first: &Copy) -> Self {
         let begin = Instant::now();
         let mut tree = Self {
             begin,
@@ -100,13 +102,20 @@
             to: from_below,
             subscription: Subscription::new(&self.copies[above], &self.copies[from_below]),
             sending: None,
+            arrivals: Vec::new(),
         });
     }
 
     /// The first instance learns a change.
-    fn learn(&mut self, change: godwitreel::platform::Change) {
-        let revision = change.mod_revision();
-        let fresh = self.copies[0].apply(vec![change], revision);
+    pub(crate) fn learn(&mut self, change: godwitreel::platform::Change) {
+        self.learn_all(vec![change]);
+    }
+
+    /// The first instance learns many changes at once.
+    pub(crate) fn learn_all(&mut self, changes: Vec<godwitreel::platform::Change>) {
+        let revisions = changes.iter().map(|change| change.mod_revision());
+        let revision = revisions.max().unwrap_or_default();
+        let fresh = self.copies[0].apply(changes, revision);
         self.note(0, &fresh);
     }
 
@@ -119,7 +128,7 @@
         }
     }
 
-    fn run(&mut self, milliseconds: usize) {
+    pub(crate) fn run(&mut self, milliseconds: usize) {
         for _ in 0..milliseconds {
             self.now += 1;
             self.compose();
@@ -186,6 +195,7 @@
             let Some(sending) = connection.sending.take() else {
                 continue;
             };
+            connection.arrivals.push(self.now);
             let to = connection.to;
             let copy = &mut self.copies[to];
             let fresh = connection.subscription.take(copy, sending.news).unwrap();
@@ -194,7 +204,7 @@
     }
 
     /// Longest time from the first instance's knowledge to the last one's.
-    fn spread(&self, key: &str, revision: u64) -> usize {
+    pub(crate) fn spread(&self, key: &str, revision: u64) -> usize {
         let at = |instance| self.learned.get(&(instance, key.to_owned(), revision));
         let begin = *at(0).expect("the first instance knows it");
         let last = (0..self.copies.len()).map(|instance| at(instance).copied());
@@ -202,7 +212,19 @@
         last.max().unwrap() - begin
     }
 
-    fn all_agree(&self) -> bool {
+    /// Longest time after a moment in which an instance waited for a message that
+    /// was due.
+    pub(crate) fn longest_silence(&self, begin: usize) -> usize {
+        let gaps = self.connections.iter().flat_map(|connection| {
+            let arrivals = std::iter::once(&begin).chain(&connection.arrivals);
+            arrivals
+                .zip(&connection.arrivals)
+                .map(|(one, next)| next.saturating_sub(*one))
+        });
+        gaps.max().unwrap_or_default()
+    }
+
+    pub(crate) fn all_agree(&self) -> bool {
         let first = content(&self.copies[0]);
         self.copies.iter().all(|copy| content(copy) == first)
     }
