Tell what is on its way: time of a large value, what a lost subscriber lacked, age of the view

Sight for a change that is late on some instances: the log said "silent" for an upstream that stood still and for one that was still sending, and view_age_ms was counted from the message, not from the upstream's contact with the store (up to 2 s too young).

--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -14,8 +14,10 @@
 
 use crate::flow;
 use crate::metric::collector::Platform;
+use crate::metric::collector::View;
 use crate::metric::label::KindLabels;
 use crate::platform::transport::Transport;
+use crate::replica;
 
 /// Bounds of the handshake's buckets, in seconds: one round trip between caller
 /// and instance up to the third copy of an opening packet.
@@ -42,7 +44,7 @@
 }
 
 impl Metrics {
-    pub(crate) fn new(store: Arc<Transport>) -> Self {
+    pub(crate) fn new(store: Arc<Transport>, replica: Arc<replica::Shared>) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("godwitreel_entry"),
             packets: Family::default(),
@@ -57,11 +59,11 @@
             version: Gauge::default(),
             ready: Gauge::default(),
         };
-        metrics.register(store);
+        metrics.register(store, replica);
         metrics
     }
 
-    fn register(&mut self, store: Arc<Transport>) {
+    fn register(&mut self, store: Arc<Transport>, replica: Arc<replica::Shared>) {
         let registry = &mut self.registry;
         registry.register(
             "packets",
@@ -107,6 +109,7 @@
             self.ready.clone(),
         );
         registry.register_collector(Box::new(Platform(store)));
+        registry.register_collector(Box::new(View(replica)));
     }
 
     pub(crate) fn count_packet(&self, outcome: &'static str) {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -67,8 +67,6 @@
     refusals: Refusals,
     shared: Arc<Shared>,
     log: Logger,
-    /// When the store last answered.
-    contact: Option<Instant>,
     /// Where changes come from; `None` for the store itself.
     upstream: Option<id::Instance>,
     /// The copy of the store, and what instances tell each other.
@@ -86,8 +84,10 @@
 pub async fn run(file: PathBuf, settings: Settings, adapter: Adapter, log: Logger) -> Result<()> {
     let mut signals = Signals::new()?;
     let reader = start::reader(&settings, &adapter)?;
+    let transport = reader.client().transport();
+    let (mut updates, replica) = start::follow(&settings, &adapter, reader, &log).await?;
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
-    let metrics = Metrics::new(reader.client().transport());
+    let metrics = Metrics::new(transport, Arc::clone(&replica));
     metrics.prepare();
     let shared = Arc::new(Shared {
         is_ready: AtomicBool::new(false),
@@ -96,7 +96,6 @@
     });
     let socket = Socket::bind(settings.packets, adapter.codec).await?;
     http::serve(settings.ready, settings.metrics, Arc::clone(&shared), &log).await?;
-    let (mut updates, replica) = start::follow(&settings, &adapter, reader, &log).await?;
     info!(log, "started"; "instance" => %settings.instance, "zone" => %settings.zone,
         "packets" => %settings.packets, "version" => env!("CARGO_PKG_VERSION"));
     let now = Instant::now();
@@ -107,7 +106,6 @@
         socket,
         shared,
         log,
-        contact: None,
         upstream: None,
         replica,
         told: now,
@@ -259,7 +257,7 @@
     }
 
     fn contact_age_ms(&self, now: Instant) -> Option<u64> {
-        self.contact.map(|at| (now - at).as_millis() as u64)
+        self.replica.age(now).map(|age| age.as_millis() as u64)
     }
 
     fn learn(&mut self, update: Update) {
@@ -288,13 +286,12 @@
                 entries, revision, ..
             } => info!(self.log, "store read"; "entries" => entries.len(),
                 "revision" => revision, "view_age_ms" => self.contact_age_ms(now)),
-            Update::Contact => self.contact = Some(now),
             Update::Source { upstream } => {
                 self.upstream.clone_from(upstream);
                 let upstream = upstream.as_ref().map(ToString::to_string);
                 info!(self.log, "source of changes"; "upstream" => upstream);
             }
-            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) => {}
+            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) | Update::Contact => {}
         }
     }
 
--- a/src/metric/collector.rs
+++ b/src/metric/collector.rs
@@ -10,6 +10,9 @@
 use prometheus_client::encoding::EncodeMetric;
 use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Unit;
+use tokio::time::Instant;
 
 use crate::metric::COUNTER_SUFFIX;
 use crate::metric::Name;
@@ -17,6 +20,7 @@
 use crate::metric::PLATFORM_FAILURES;
 use crate::platform::Counts;
 use crate::platform::transport::Transport;
+use crate::replica;
 
 /// Reads the platform client's own counts at each scrape, so that they stand once.
 pub(crate) struct Platform(pub(crate) Arc<Transport>);
@@ -35,6 +39,24 @@
     }
 }
 
+/// Reads the age of the copy of the store at each scrape.
+#[derive(Debug)]
+pub(crate) struct View(pub(crate) Arc<replica::Shared>);
+
+impl Collector for View {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        // Nothing has been heard yet.
+        let Some(age) = self.0.age(Instant::now()) else {
+            return Ok(());
+        };
+        let gauge = ConstGauge::new(age.as_secs_f64());
+        let help = "Time since the store had nothing newer, large values under way aside.";
+        let unit = Some(&Unit::Seconds);
+        let metric = encoder.encode_descriptor("view_age", help, unit, MetricType::Gauge)?;
+        gauge.encode(metric)
+    }
+}
+
 type Kind<'a> = (&'static str, &'a AtomicU64);
 
 fn calls(counts: &Counts) -> [Kind<'_>; 4] {
--- a/src/replica/backlog.rs
+++ b/src/replica/backlog.rs
@@ -45,6 +45,10 @@
         self.rows.is_empty()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Revision of the oldest row that waits.
     pub(crate) fn first_revision(&self) -> Option<u64> {
         self.rows.keys().next().map(|(revision, _)| *revision)
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -145,6 +146,10 @@
         let now = Instant::now();
         let contact = report.age.map(|age| now - age);
         self.shared.board.hear_above(now, report.remarks);
+        if let Some(received) = report.received {
+            info!(self.sources.log, "large value received"; "revision" => received.revision,
+                "bytes" => received.bytes, "took_ms" => received.took.as_millis() as u64);
+        }
         let revision = report.revision;
         if report.is_everything {
             let entries = report
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -95,6 +95,13 @@
         self.parcel.is_some() || !self.lacking.is_empty() || self.awaits_copy()
     }
 
+    /// Small rows that wait, and bytes of what is on its way in parts.
+    pub(crate) fn waiting(&self) -> (usize, usize) {
+        let parts = self.parcel.as_ref();
+        let bytes = parts.map_or(0, |parcel| parcel.packed.len() - parcel.sent);
+        (self.backlog.len(), bytes)
+    }
+
     /// The next message: small rows that the subscriber lacks, and a part of what is
     /// large if `may_send` allows its bytes.
     ///
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -92,8 +92,15 @@
     info!(log, "subscriber joined"; "subscriber" => &subscribe.instance,
         "peer" => %peer, "horizon" => subscribe.horizon, "held" => subscribe.held.len());
     let subscriber = shared.board.enter();
-    let outcome = feed(&mut framed, peer, shared, &subscribe, subscriber).await;
+    let mut outbox = Outbox::new(&subscribe, shared.known(&subscribe.held));
+    let outcome = feed(&mut framed, peer, shared, &mut outbox, subscriber).await;
     shared.board.leave(subscriber);
+    let (rows, bytes) = outbox.waiting();
+    if rows > 0 || bytes > 0 {
+        // Tells a link that is too slow from a subscriber that is gone.
+        info!(log, "subscriber left behind"; "subscriber" => &subscribe.instance,
+            "rows_waiting" => rows, "bytes_waiting" => bytes);
+    }
     outcome
 }
 
@@ -101,14 +108,13 @@
     framed: &mut Stream,
     peer: SocketAddr,
     shared: &Arc<Shared>,
-    subscribe: &Subscribe,
+    outbox: &mut Outbox,
     subscriber: u64,
 ) -> Result<()> {
-    let mut outbox = Outbox::new(subscribe, shared.known(&subscribe.held));
     let mut changed = shared.watch();
     loop {
         changed.mark_unchanged();
-        let news = compose(shared, &mut outbox, peer)?;
+        let news = compose(shared, outbox, peer)?;
         let is_more = news.part.is_some();
         let has_remarks = !news.remarks.is_empty();
         send(framed, peer, &news).await?;
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -38,6 +38,17 @@
 /// Silence after which the upstream is left: three heartbeats.
 const SILENCE: Duration = Duration::from_millis(800);
 
+/// A large value or copy that has come in parts.
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    /// Revision at which it was written, or up to which the copy is whole.
+    pub(crate) revision: u64,
+    /// Bytes of its parts.
+    pub(crate) bytes: u64,
+    /// Time from its first part to its last.
+    pub(crate) took: Duration,
+}
+
 /// What an upstream tells at once.
 #[derive(Clone, Debug)]
 pub(crate) struct Report {
@@ -55,6 +66,8 @@
     pub(crate) has_more: bool,
     /// What the zone's instances counted against servers.
     pub(crate) remarks: Vec<Remark>,
+    /// The value that is complete with this.
+    pub(crate) received: Option<Received>,
 }
 
 impl Report {
@@ -71,6 +84,7 @@
         }
         let later = std::mem::take(&mut self.changes);
         self.is_everything = before.is_everything;
+        self.received = self.received.take().or(before.received);
         self.changes = if before.is_everything {
             merge(before.changes, later)
         } else {
@@ -86,6 +100,8 @@
     peer: SocketAddrV4,
     /// When it was last heard.
     heard: Instant,
+    /// When the first part of what is on its way came.
+    begun: Instant,
 }
 
 impl Subscription {
@@ -110,6 +126,7 @@
                 inbox: Inbox::new(bases),
                 peer,
                 heard: Instant::now(),
+                begun: Instant::now(),
             };
             subscription.ask(&subscribe).await?;
             let report = subscription.next().await?;
@@ -167,10 +184,19 @@
             awaits_copy: news.awaits_copy,
             has_more: news.has_more,
             remarks: news.remarks,
+            received: None,
         };
         let Some(part) = news.part else {
             return Ok(report);
         };
+        if part.offset == 0 {
+            self.begun = self.heard;
+        }
+        report.received = part.is_last.then(|| Received {
+            revision: part.mod_revision,
+            bytes: part.offset + part.bytes.len() as u64,
+            took: self.heard - self.begun,
+        });
         let complete = self.inbox.take(part);
         match complete.map_err(|misfit| lost(self.peer, misfit))? {
             None => {}
