--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -108,6 +108,30 @@
     assert!(has_reason(&copy, Reason::UnknownClaimed));
 }
 
+/// The home forwarded a booking, is told to stop and is cut off from its peers, not
+/// from the caller and the server. It is silent to its backup, which takes over; the
+/// caller's copy comes 49 ms before the answer (755 ms and 804 ms after the booking)
+/// and was told "unknown", so that the answer found nobody waiting.
+#[test]
+fn a_cut_off_home_may_still_answer() {
+    let mut pair = Pair::joined();
+    assert_eq!(forwards(&pair.book_through(1)).len(), 1);
+    pair.run(Duration::from_millis(750));
+    pair.lose_home();
+    let b = pair.b.clone();
+    pair.backup.handle(pair.now, table(row(2, Some(&b), None)));
+    for _ in 0..3 {
+        let copy = pair.ask_backup(1, Kind::Once);
+        assert!(forwards(&copy).is_empty());
+        assert_eq!(outcomes(&copy), []);
+        pair.run(Duration::from_millis(600));
+    }
+    pair.run(Duration::from_millis(300));
+    let copy = pair.ask_backup(1, Kind::Once);
+    assert!(forwards(&copy).is_empty());
+    assert_eq!(outcomes(&copy), [Outcome::Unknown]);
+}
+
 /// The slice moves as planned while a booking is at its server. The old home gets
 /// the answer and tells the new one, so that the caller's copy gets it too.
 #[test]
