Whoever has nothing yet goes on to the next seed while the store is away

Found by an_instance_that_is_its_own_first_seed_asks_the_next, which failed on the commit before: an instance stayed with itself.

--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -123,7 +123,10 @@
                 return self.catch_up().await;
             }
         };
-        let is_worth_it = self.is_fresh(&first) || self.is_store_away();
+        // Whoever has nothing yet must go on to the next seed: one with nothing either,
+        // itself for one, would keep it waiting.
+        let is_enough = horizon.is_some() && self.is_store_away();
+        let is_worth_it = self.is_fresh(&first) || is_enough;
         if is_worth_it || horizon.is_none() {
             self.take(first).await?;
         }
