Look at the store for servers only, and give the upstream a second to tell of its return

Found by reading: a look that polls everything brings each version of a large value, on a thin link for seconds, while the copy it was to renew grows older. Also: other upstreams are tried only after a look that failed.

--- a/src/replica.rs
+++ b/src/replica.rs
@@ -13,8 +13,8 @@
 //! meant to feed it can be reached.
 //!
 //! Subscribers are told the newest change of a key, small ones at once in messages of
-//! bounded size, large ones in parts and as what is new in them. Up the same connections go counts of how
-//! requests end at servers, and their sum comes down.
+//! bounded size, large ones in parts and as what is new in them. Up the same
+//! connections go counts of how requests end at servers, and their sum comes down.
 //!
 //! Ranks need no agreement. Two instances that disagree about them only cause a
 //! few more calls, since subscriptions always lead to a smaller rank.
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -77,6 +77,17 @@
     }
 }
 
+/// What is known of the store's answers to this instance.
+#[derive(Clone, Copy, Debug)]
+enum Presence {
+    /// Nothing that speaks against it.
+    Unknown,
+    /// It did not answer, and is not looked at again until then.
+    Away(Instant),
+    /// It answers again, which the upstream is given until then to tell.
+    Back(Instant),
+}
+
 struct Follower {
     sources: Sources,
     shared: Arc<Shared>,
@@ -89,8 +100,7 @@
     /// Upstreams that failed.
     resting: HashMap<SocketAddrV4, Rest>,
     is_silent: bool,
-    /// Until when the store is taken not to answer here.
-    away_until: Option<Instant>,
+    presence: Presence,
     /// [`LOOK_AGAIN`] and up to a quarter more, so that a fleet that has found the
     /// store away at once does not look at once again.
     look_again: Duration,
@@ -115,7 +125,7 @@
         neighbours: 0,
         resting: HashMap::new(),
         is_silent: true,
-        away_until: None,
+        presence: Presence::Unknown,
         look_again: LOOK_AGAIN.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
         is_compacted: false,
@@ -165,13 +175,16 @@
         if store::needs_listing(error) {
             return;
         }
-        self.away_until = Some(Instant::now() + self.look_again);
+        self.presence = Presence::Away(Instant::now() + self.look_again);
     }
 
     /// Whether the store is known not to answer here: then an upstream with an old
     /// copy is as good as any, and news of the store's return comes through it.
     fn is_store_away(&self) -> bool {
-        self.away_until.is_some_and(|until| Instant::now() < until)
+        match self.presence {
+            Presence::Unknown => false,
+            Presence::Away(until) | Presence::Back(until) => Instant::now() < until,
+        }
     }
 
     async fn take(&mut self, report: Report) -> Result<(), End> {
@@ -205,6 +218,7 @@
         self.shared.touch(contact);
         if !self.is_old() {
             self.is_silent = false;
+            self.presence = Presence::Unknown;
             self.sender.send(Update::Contact).await?;
         }
         Ok(())
@@ -232,7 +246,7 @@
 
     async fn answered(&mut self, at: Instant) -> Result<(), End> {
         self.is_silent = false;
-        self.away_until = None;
+        self.presence = Presence::Unknown;
         self.backoff.reset();
         self.shared.touch(at);
         Ok(self.sender.send(Update::Contact).await?)
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -16,6 +16,7 @@
 use crate::replica::board::TELL_EVERY;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
+use crate::replica::follow::Presence;
 use crate::replica::store;
 use crate::replica::subscribe;
 use crate::replica::subscribe::Report;
@@ -45,17 +46,15 @@
 /// in which a store in its slow hours answers.
 const HEADS_LOOK_AT: f64 = 0.85;
 
-/// What the store said to a look at it.
-struct Look {
-    asked: Instant,
-    outcome: crate::Result<Batch>,
-}
+/// Time in which an upstream tells that the store is back: its own pause between two
+/// tries, a second at most, and a call.
+const TELLS_WITHIN: Duration = Duration::from_millis(1_300);
 
 /// What happens while an upstream is followed.
 enum Event {
     Heard(crate::Result<Report>),
     Tell,
-    Looked(Look),
+    Looked(crate::Result<Batch>),
 }
 
 /// Time for a subscription and a whole copy with it. A copy of 4 MB at the size
@@ -139,7 +138,6 @@
         let mut tell_at = Instant::now();
         let mut look = Either::Left(future::pending());
         let mut is_looking = false;
-        let mut has_caught_up = false;
         let error = loop {
             if !is_looking && self.is_time_to_look() && !self.is_store_away() {
                 look = Either::Right(Box::pin(self.look_at_store()));
@@ -163,10 +161,11 @@
                     look = Either::Left(future::pending());
                     is_looking = false;
                     if self.take_look(looked).await? {
-                        has_caught_up = true;
                         break "no contact with the store".to_owned();
                     }
-                    if let Some((other, moved)) = self.move_to_any(peer).await? {
+                    if matches!(self.presence, Presence::Away(_))
+                        && let Some((other, moved)) = self.move_to_any(peer).await?
+                    {
                         subscription = moved;
                         peer = other;
                     }
@@ -182,22 +181,16 @@
         self.rest(peer, REST);
         warn!(self.sources.log, "upstream lost"; "peer" => %peer, "reason" => error);
         self.sender.send(Update::Source { upstream: None }).await?;
-        if has_caught_up {
-            return Ok(());
-        }
         self.catch_up().await
     }
 
-    /// Asks the store whether it has anything newer, beside the upstream.
-    fn look_at_store(&self) -> impl Future<Output = Look> + Send + use<> {
+    /// Asks the store what is new of the servers, beside the upstream. The large value
+    /// is left out: on a thin link its versions would hold up the answer for seconds.
+    fn look_at_store(&self) -> impl Future<Output = crate::Result<Batch>> + Send + use<> {
         let reader = self.sources.reader.clone();
-        let all = self.sources.keys.all;
+        let small = self.sources.keys.small;
         let horizon = self.shared.horizon().unwrap_or_default();
-        async move {
-            let asked = Instant::now();
-            let outcome = reader.poll(all, horizon, Duration::ZERO).await;
-            Look { asked, outcome }
-        }
+        async move { reader.poll(small, horizon, Duration::ZERO).await }
     }
 
     /// Heads look a little earlier than the others, which turn to a head that the store
@@ -211,17 +204,13 @@
     }
 
     /// Whether the upstream should be left: the store answers here and not there.
-    async fn take_look(&mut self, look: Look) -> Result<bool, End> {
+    async fn take_look(&mut self, look: crate::Result<Batch>) -> Result<bool, End> {
         let is_upstream_old = self.is_time_to_look();
-        // Back after an outage: the upstream, which asks from second to second, is
-        // about to tell so, and is looked at again if it does not.
-        let is_just_back = self.away_until.is_some();
-        match look.outcome {
+        match look {
             Ok(batch) => {
-                let revision = batch.revision;
-                self.take_batch(batch, revision).await?;
-                self.answered(look.asked).await?;
-                Ok(is_upstream_old && !is_just_back)
+                let horizon = self.shared.horizon().unwrap_or_default();
+                self.take_batch(batch, horizon).await?;
+                Ok(is_upstream_old && !self.is_just_back())
             }
             Err(error) => {
                 self.fail(&error).await?;
@@ -231,6 +220,16 @@
         }
     }
 
+    /// Whether this is the first answer after an outage. The upstream, which asks from
+    /// second to second, is about to tell of it, and is looked at again if it does not.
+    fn is_just_back(&mut self) -> bool {
+        let is_just_back = matches!(self.presence, Presence::Away(_));
+        if is_just_back {
+            self.presence = Presence::Back(Instant::now() + TELLS_WITHIN);
+        }
+        is_just_back
+    }
+
     /// Moves to any other instance that has heard the store lately.
     async fn move_to_any(
         &mut self,
