--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -39,13 +39,13 @@
 /// heard: it tells at once when the store is back.
 const SLOW_RETRY: Duration = Duration::from_millis(1_500);
 
-/// Pause before the store is looked at again beside an upstream that is cut off from
-/// it, too. Load pattern: the store refuses or is silent for seconds, and all
+/// Pause before the store is probed again beside an upstream that is cut off from it,
+/// too. Load pattern: the store refuses or is silent for seconds, and all
 /// instances of a fleet find their copies old at once. If each left its upstream and
 /// asked again and again, 70 instances made 1,400 calls in five seconds, and what the
-/// zone tells of servers stopped. One look each in four seconds finds an upstream that
-/// alone stays cut off; the return of the store is told by it at once.
-const LOOK_AGAIN: Duration = Duration::from_secs(4);
+/// zone tells of servers stopped; with it they make 100. One probe each in four seconds
+/// finds an upstream that alone stays cut off; it tells of the store's return at once.
+const PROBE_PAUSE: Duration = Duration::from_secs(4);
 
 /// Where changes can come from.
 pub(crate) struct Sources {
@@ -82,7 +82,7 @@
 enum Presence {
     /// Nothing that speaks against it.
     Unknown,
-    /// It did not answer, and is not looked at again until then.
+    /// It did not answer, and is not probed again until then.
     Away(Instant),
     /// It answers again, which the upstream is given until then to tell.
     Back(Instant),
@@ -101,9 +101,9 @@
     resting: HashMap<SocketAddrV4, Rest>,
     is_silent: bool,
     presence: Presence,
-    /// [`LOOK_AGAIN`] and up to a quarter more, so that a fleet that has found the
-    /// store away at once does not look at once again.
-    look_again: Duration,
+    /// [`PROBE_PAUSE`] and up to a quarter more, so that a fleet that has found the
+    /// store away at once does not probe it at once again.
+    probe_pause: Duration,
     /// The last poll brought changes.
     had_changes: bool,
     /// The store has dropped the history after the horizon.
@@ -126,7 +126,7 @@
         resting: HashMap::new(),
         is_silent: true,
         presence: Presence::Unknown,
-        look_again: LOOK_AGAIN.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
+        probe_pause: PROBE_PAUSE.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
         is_compacted: false,
         large: Large::default(),
@@ -175,7 +175,7 @@
         if store::needs_listing(error) {
             return;
         }
-        self.presence = Presence::Away(Instant::now() + self.look_again);
+        self.presence = Presence::Away(Instant::now() + self.probe_pause);
     }
 
     /// Whether the store is known not to answer here: then an upstream with an old
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -42,9 +42,9 @@
 /// serves: it may be gone, and each try holds the present one's news up.
 const MOVE_REST: Duration = Duration::from_secs(5);
 
-/// Share of the age at which others look at the store at which heads do: 0.3 s of 2 s,
+/// Share of the age at which others probe the store at which heads do: 0.3 s of 2 s,
 /// in which a store in its slow hours answers.
-const HEADS_LOOK_AT: f64 = 0.85;
+const HEADS_PROBE_AT: f64 = 0.85;
 
 /// Time in which an upstream tells that the store is back: its own pause between two
 /// tries, a second at most, and a call.
@@ -54,7 +54,7 @@
 enum Event {
     Heard(crate::Result<Report>),
     Tell,
-    Looked(crate::Result<Batch>),
+    Probed(crate::Result<Batch>),
 }
 
 /// Time for a subscription and a whole copy with it. A copy of 4 MB at the size
@@ -136,17 +136,17 @@
         self.resting.remove(&peer);
         let mut has_told = false;
         let mut tell_at = Instant::now();
-        let mut look = Either::Left(future::pending());
-        let mut is_looking = false;
+        let mut probe = Either::Left(future::pending());
+        let mut is_probing = false;
         let error = loop {
-            if !is_looking && self.is_time_to_look() && !self.is_store_away() {
-                look = Either::Right(Box::pin(self.look_at_store()));
-                is_looking = true;
+            if !is_probing && self.is_probe_due() && !self.is_store_away() {
+                probe = Either::Right(Box::pin(self.probe_store()));
+                is_probing = true;
             }
             let event = tokio::select! {
                 next = subscription.next() => Event::Heard(next),
                 () = time::sleep_until(tell_at) => Event::Tell,
-                looked = &mut look, if is_looking => Event::Looked(looked),
+                probed = &mut probe, if is_probing => Event::Probed(probed),
             };
             match event {
                 Event::Heard(Ok(report)) => self.take(report).await?,
@@ -157,10 +157,10 @@
                         break error.to_string();
                     }
                 }
-                Event::Looked(looked) => {
-                    look = Either::Left(future::pending());
-                    is_looking = false;
-                    if self.take_look(looked).await? {
+                Event::Probed(probed) => {
+                    probe = Either::Left(future::pending());
+                    is_probing = false;
+                    if self.take_probe(probed).await? {
                         break "no contact with the store".to_owned();
                     }
                     if matches!(self.presence, Presence::Away(_))
@@ -186,27 +186,27 @@
 
     /// Asks the store what is new of the servers, beside the upstream. The large value
     /// is left out: on a thin link its versions would hold up the answer for seconds.
-    fn look_at_store(&self) -> impl Future<Output = crate::Result<Batch>> + Send + use<> {
+    fn probe_store(&self) -> impl Future<Output = crate::Result<Batch>> + Send + use<> {
         let reader = self.sources.reader.clone();
         let small = self.sources.keys.small;
         let horizon = self.shared.horizon().unwrap_or_default();
         async move { reader.poll(small, horizon, Duration::ZERO).await }
     }
 
-    /// Heads look a little earlier than the others, which turn to a head that the store
+    /// Heads probe a little earlier than the others, which turn to a head that the store
     /// serves when it does not serve them.
-    fn is_time_to_look(&mut self) -> bool {
+    fn is_probe_due(&mut self) -> bool {
         let is_head = self.above().len() < tree::HEADS;
-        let share = if is_head { HEADS_LOOK_AT } else { 1.0 };
+        let share = if is_head { HEADS_PROBE_AT } else { 1.0 };
         let due = self.sources.pace.most_age.mul_f64(share);
         let age = self.shared.age(Instant::now());
         age.is_none_or(|age| age > due)
     }
 
     /// Whether the upstream should be left: the store answers here and not there.
-    async fn take_look(&mut self, look: crate::Result<Batch>) -> Result<bool, End> {
-        let is_upstream_old = self.is_time_to_look();
-        match look {
+    async fn take_probe(&mut self, probed: crate::Result<Batch>) -> Result<bool, End> {
+        let is_upstream_old = self.is_probe_due();
+        match probed {
             Ok(batch) => {
                 let horizon = self.shared.horizon().unwrap_or_default();
                 self.take_batch(batch, horizon).await?;
@@ -221,7 +221,7 @@
     }
 
     /// Whether this is the first answer after an outage. The upstream, which asks from
-    /// second to second, is about to tell of it, and is looked at again if it does not.
+    /// second to second, is about to tell of it; the store is probed again if it does not.
     fn is_just_back(&mut self) -> bool {
         let is_just_back = matches!(self.presence, Presence::Away(_));
         if is_just_back {
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -55,6 +55,15 @@
 /// How a value is packed against what the subscriber has of it.
 pub type Packing<'a> = &'a dyn Fn(&Base, Option<&Base>) -> io::Result<Bytes>;
 
+/// What has not been sent to a subscriber.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Waiting {
+    /// Small rows.
+    pub(crate) rows: usize,
+    /// Bytes of what is on its way in parts.
+    pub(crate) bytes: usize,
+}
+
 /// What a subscriber has been told, and what is on its way to it.
 #[derive(Debug)]
 pub struct Outbox {
@@ -95,11 +104,13 @@
         self.parcel.is_some() || !self.lacking.is_empty() || self.awaits_copy()
     }
 
-    /// Small rows that wait, and bytes of what is on its way in parts.
-    pub(crate) fn waiting(&self) -> (usize, usize) {
-        let parts = self.parcel.as_ref();
-        let bytes = parts.map_or(0, |parcel| parcel.packed.len() - parcel.sent);
-        (self.backlog.len(), bytes)
+    /// What has not been sent.
+    pub(crate) fn waiting(&self) -> Waiting {
+        let parcel = self.parcel.as_ref();
+        Waiting {
+            rows: self.backlog.len(),
+            bytes: parcel.map_or(0, |parcel| parcel.packed.len() - parcel.sent),
+        }
     }
 
     /// The next message: small rows that the subscriber lacks, and a part of what is
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -95,11 +95,11 @@
     let mut outbox = Outbox::new(&subscribe, shared.known(&subscribe.held));
     let outcome = feed(&mut framed, peer, shared, &mut outbox, subscriber).await;
     shared.board.leave(subscriber);
-    let (rows, bytes) = outbox.waiting();
-    if rows > 0 || bytes > 0 {
+    let waiting = outbox.waiting();
+    if waiting.rows > 0 || waiting.bytes > 0 {
         // Tells a link that is too slow from a subscriber that is gone.
         info!(log, "subscriber left behind"; "subscriber" => &subscribe.instance,
-            "rows_waiting" => rows, "bytes_waiting" => bytes);
+            "rows_waiting" => waiting.rows, "bytes_waiting" => waiting.bytes);
     }
     outcome
 }
