Leave the last word to the home that claimed a request until the request's deadline

Callers of a home that is cut off in a stop got "unknown" before their answer wherever the work took longer than 2 s past the takeover. Cause: FORMER_ANSWERS took its 2 s from how long requests take; what counts is the deadline, at which the claimer itself says "unknown". A second takeover counted from itself and asked about the wrong instance (the home before, not the claimer). Whoever sent a copy is told at the deadline, so that a dead home's caller does not wait for its next copy; at once when a later life of the claimer has registered. Claims carry their age. FORMER_ANSWERS, former and home_since go. It holds as the new home speaks only after the claimer's last moment.

--- a/examples/utils/fixture.rs
+++ b/examples/utils/fixture.rs
@@ -347,6 +347,7 @@
             flow: Some(peer::pack_flow(&flow)),
             id: peer::pack_number(0x1234 << 72 | 4 << 64 | 0x0102_0304),
             claimer: String::new(),
+            age_ms: 0,
         })),
     }
 }
--- a/src/engine/clock.rs
+++ b/src/engine/clock.rs
@@ -102,6 +102,10 @@
         let Some(record) = self.record(slice, key) else {
             return;
         };
+        if record.phase == Phase::Claimed {
+            self.end_waiting(now, slice, key);
+            return;
+        }
         if !record.is_open() {
             return;
         }
@@ -123,6 +127,29 @@
         self.settle(now, slice, key, Outcome::Unknown, Reason::UnknownDeadline);
     }
 
+    /// The home that claimed a request has no time left to answer it: whoever has sent
+    /// a copy here is told.
+    fn end_waiting(&mut self, now: Instant, slice: id::Slice, key: &Key) {
+        let is_home = self.table.row(slice).is_home(&self.settings.me);
+        let deadline = self.deadline(&key.flow.service);
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        let due = record.born + deadline;
+        if now < due {
+            // The profile allows more time by now.
+            self.schedule(due, Timer::Deadline(slice, key.clone()));
+            return;
+        }
+        let is_awaited = std::mem::take(&mut record.is_awaited);
+        if !is_awaited || !is_home {
+            return;
+        }
+        let (token, confirmable) = (record.token, record.confirmable);
+        let (outcome, reason) = (Outcome::Unknown, Reason::UnknownClaimed);
+        self.answer_directly(key.clone(), token, confirmable, outcome, reason);
+    }
+
     /// Forgets a finished request that no copy can follow any more.
     fn expire(&mut self, now: Instant, slice: id::Slice, key: &Key) {
         let Some(record) = self.record(slice, key) else {
--- a/src/engine/inbound.rs
+++ b/src/engine/inbound.rs
@@ -24,6 +24,7 @@
 use crate::request::Outcome;
 use crate::request::Receipt;
 use crate::request::Request;
+use crate::request::Token;
 use crate::snapshot::Service;
 
 /// Relays after which a datagram is dropped: tables that disagree could send it
@@ -34,15 +35,6 @@
 /// It covers noticing a dead home and promoting its backup.
 pub(crate) const PARK_TIME: Duration = Duration::from_secs(5);
 
-/// Time after a takeover in which the home before, although silent, may still answer
-/// what it has claimed.
-///
-/// A home that is cut off from its peers only answers its callers itself; told
-/// "unknown" at once, a caller gave up 49 ms before its answer came. Requests of the
-/// services known take 0.3 s at most. A home that is dead costs its callers nothing by
-/// it: their next copies but one come 2 s apart or more.
-const FORMER_ANSWERS: Duration = Duration::from_secs(2);
-
 /// How long an answer may take before receipt is acknowledged by itself; under
 /// the two seconds after which a caller repeats its request.
 pub(super) const ACKNOWLEDGE_AFTER: Duration = Duration::from_secs(1);
@@ -231,13 +223,26 @@
 
     /// Answers without keeping a record.
     fn turn_away(&mut self, request: &Request, outcome: Outcome, reason: Reason) {
-        let slice = self.slice_of(&request.flow);
-        self.note_request(reason, slice, &request.key());
+        let (token, confirmable) = (request.token, request.confirmable);
+        self.answer_directly(request.key(), token, confirmable, outcome, reason);
+    }
+
+    /// Answers a datagram of the caller with no record of the answer.
+    pub(super) fn answer_directly(
+        &mut self,
+        key: Key,
+        token: Token,
+        confirmable: bool,
+        outcome: Outcome,
+        reason: Reason,
+    ) {
+        let slice = self.slice_of(&key.flow);
+        self.note_request(reason, slice, &key);
         self.out.push(Action::Answer {
-            flow: request.flow.clone(),
-            id: request.id,
-            token: request.token,
-            confirmable: request.confirmable,
+            flow: key.flow,
+            id: key.id,
+            token,
+            confirmable,
             delivery: Delivery::Direct,
             sequence: None,
             outcome,
@@ -277,10 +282,9 @@
                     outcome,
                 });
             }
-            // The home before finishes what it has and answers the caller itself:
-            // "unknown" would cut off a request that a planned move must not touch.
-            Phase::Claimed if self.is_finished_elsewhere(now, slice, key) => {
+            Phase::Claimed if self.may_be_answered_elsewhere(now, slice, key) => {
                 self.note_request(Reason::CopyIgnored, slice, key);
+                self.tell_at_deadline(slice, key, request);
             }
             Phase::Claimed => {
                 self.turn_away(request, Outcome::Unknown, Reason::UnknownClaimed);
@@ -297,19 +301,38 @@
         }
     }
 
-    /// Whether the home before may still answer a request that it had claimed.
-    fn is_finished_elsewhere(&self, now: Instant, slice: id::Slice, key: &Key) -> bool {
-        let Some(state) = self.slices.get(&slice) else {
+    /// Whether the home that claimed a request may still answer it.
+    ///
+    /// It may for as long as the request has time: a home in a planned move finishes
+    /// what it has, and one that is cut off from its peers is silent here and answers
+    /// its callers all the same. Told "unknown" meanwhile, a caller gives up before its
+    /// answer comes. At the deadline that home says "unknown" itself.
+    fn may_be_answered_elsewhere(&self, now: Instant, slice: id::Slice, key: &Key) -> bool {
+        let state = self.slices.get(&slice);
+        let Some(record) = state.and_then(|state| state.records.get(key)) else {
             return false;
         };
-        let is_new = state
-            .home_since
-            .is_some_and(|since| now < since + FORMER_ANSWERS);
-        let former = state.former.as_ref();
-        let may_answer = former.is_some_and(|former| is_new || self.members.is_live(former));
-        let record = state.records.get(key);
+        let claimer = record.claimer.as_ref();
+        let has_ended = claimer.is_some_and(|claimer| self.members.has_ended(claimer));
+        !has_ended && now < record.born + self.deadline(&key.flow.service)
+    }
+
+    /// Keeps in mind that the sender of this copy waits for a word.
+    ///
+    /// Copies are doubling pauses apart: if the home that claimed the request is dead,
+    /// the next one would come, and get its "unknown", long after the deadline.
+    fn tell_at_deadline(&mut self, slice: id::Slice, key: &Key, request: &Request) {
         let deadline = self.deadline(&key.flow.service);
-        may_answer && record.is_some_and(|record| now < record.born + deadline)
+        let Some(record) = self.record(slice, key) else {
+            return;
+        };
+        record.token = request.token;
+        record.confirmable = request.confirmable;
+        if std::mem::replace(&mut record.is_awaited, true) {
+            return;
+        }
+        let due = record.born + deadline;
+        self.schedule(due, Timer::Deadline(slice, key.clone()));
     }
 
     fn admit_once(&mut self, now: Instant, slice: id::Slice, service: &Service, arrival: Arrival) {
@@ -403,6 +426,7 @@
         let record = Record {
             phase,
             claimer: None,
+            is_awaited: false,
             kind: request.kind,
             token: request.token,
             confirmable: request.confirmable,
--- a/src/engine/ownership.rs
+++ b/src/engine/ownership.rs
@@ -62,20 +62,12 @@
         for (slice, row) in rows {
             let known = before.get(slice);
             let continued = known.is_some_and(|known| row.continues(known));
-            let former = known.and_then(|known| known.home.clone());
-            self.take_row(now, slice, row, continued, former);
+            self.take_row(now, slice, row, continued);
         }
         self.unpark(now);
     }
 
-    fn take_row(
-        &mut self,
-        now: Instant,
-        slice: id::Slice,
-        row: Row,
-        continued: bool,
-        former: Option<id::Holder>,
-    ) {
+    fn take_row(&mut self, now: Instant, slice: id::Slice, row: Row, continued: bool) {
         let state = self.slices.entry(slice).or_default();
         let before = std::mem::take(&mut state.role);
         state.epoch = row.epoch;
@@ -87,8 +79,6 @@
         if row.is_home(&self.settings.me) {
             state.role = Role::Home;
             if before != Role::Home {
-                state.former = former;
-                state.home_since = Some(now);
                 self.become_home(slice);
             }
             self.take_backup(now, slice, row.backup);
--- a/src/engine/replica.rs
+++ b/src/engine/replica.rs
@@ -58,7 +58,9 @@
             return;
         }
         self.note_request(Reason::Claimed, slice, key);
-        let item = peer::Item::Claim(pack_claim(key, None));
+        let record = self.record(slice, key);
+        let age = record.map(|record| now - record.born).unwrap_or_default();
+        let item = peer::Item::Claim(pack_claim(key, None, age));
         self.replicate(now, slice, item, Some(key.clone()));
     }
 
@@ -187,7 +189,8 @@
         let claim = |key: &Key| {
             let record = state.records.get(key);
             let claimer = record.and_then(|record| record.claimer.as_ref());
-            peer::Item::Claim(pack_claim(key, claimer))
+            let age = record.map(|record| now - record.born).unwrap_or_default();
+            peer::Item::Claim(pack_claim(key, claimer, age))
         };
         items.extend(claims.iter().map(claim));
         let feeds = state.feeds.iter();
@@ -272,7 +275,10 @@
                     "" => from.clone(),
                     claimer => claimer.parse()?,
                 };
-                self.keep_claim(now, slice, key, claimer);
+                // A sender whose clock stood still tells less than it was: kept longer.
+                let age = Duration::from_millis(claim.age_ms);
+                let born = now.checked_sub(age).unwrap_or(now);
+                self.keep_claim(now, slice, key, Record::claimed(born, claimer));
             }
             Some(peer::Item::Feed(feed)) => {
                 let (mut key, mut feed) = unpack_feed(now, message.number, feed)?;
@@ -331,17 +337,16 @@
         state.is_none_or(|state| epoch >= state.seen)
     }
 
-    fn keep_claim(&mut self, now: Instant, slice: id::Slice, key: Key, claimer: id::Holder) {
+    fn keep_claim(&mut self, now: Instant, slice: id::Slice, key: Key, claimed: Record) {
         let state = self.slices.entry(slice).or_default();
         if let Some(record) = state.records.get_mut(&key) {
             // A request that was released is claimed anew, by its next home.
             if record.phase == Phase::Claimed {
-                record.claimer = Some(claimer);
+                record.claimer = claimed.claimer;
             }
             return;
         }
-        let record = Record::claimed(now, claimer);
-        state.records.insert(key.clone(), record);
+        state.records.insert(key.clone(), claimed);
         self.records += 1;
         self.schedule_forget(now, slice, &key);
     }
@@ -427,11 +432,12 @@
     pending.filter_map(|pending| pending.waiter).collect()
 }
 
-fn pack_claim(key: &Key, claimer: Option<&id::Holder>) -> peer::Claim {
+fn pack_claim(key: &Key, claimer: Option<&id::Holder>, age: Duration) -> peer::Claim {
     peer::Claim {
         flow: Some(peer::pack_flow(&key.flow)),
         id: peer::pack_number(key.id.0),
         claimer: claimer.map(ToString::to_string).unwrap_or_default(),
+        age_ms: age.as_millis() as u64,
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -59,6 +59,9 @@
     /// The home that made the claim, if it is not the sender.
     #[prost(string, tag = "3")]
     pub claimer: String,
+    /// Time since the request came, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// A feed, with what is needed to register it again.
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -37,6 +37,12 @@
         self.live.contains(holder)
     }
 
+    /// Whether this life is over for certain: a later one has registered.
+    pub fn has_ended(&self, holder: &id::Holder) -> bool {
+        let known = self.known.get(&holder.instance);
+        known.is_some_and(|member| member.holder.incarnation > holder.incarnation)
+    }
+
     /// Whether non-idempotent requests may run now.
     pub fn has_authority(&self, now: Instant) -> bool {
         self.authority_until.is_some_and(|until| now < until)
--- a/src/record.rs
+++ b/src/record.rs
@@ -45,8 +45,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) phase: Phase,
-    /// As backup: whose claim it is.
+    /// As backup, and as its successor: whose claim it is.
     pub(crate) claimer: Option<id::Holder>,
+    /// Whether a copy of what another home claimed came here, whose sender is to be
+    /// told when that home has no time left.
+    pub(crate) is_awaited: bool,
     pub(crate) kind: Kind,
     pub(crate) token: Token,
     pub(crate) confirmable: bool,
@@ -64,16 +67,17 @@
 }
 
 impl Record {
-    /// What a backup keeps of a claim.
-    pub(crate) fn claimed(now: Instant, claimer: id::Holder) -> Self {
+    /// What a backup keeps of a claim of a request that came at a time.
+    pub(crate) fn claimed(born: Instant, claimer: id::Holder) -> Self {
         Self {
             phase: Phase::Claimed,
             claimer: Some(claimer),
+            is_awaited: false,
             kind: Kind::Once,
             token: Token(0),
             confirmable: true,
             part: Part::default(),
-            born: now,
+            born,
             separate: None,
             resends: 0,
             sequence: None,
@@ -189,10 +193,6 @@
     pub(crate) epoch: id::Epoch,
     /// As backup: the greatest epoch under which a home has replicated to us.
     pub(crate) seen: id::Epoch,
-    /// As home: the one before, which may still be finishing requests.
-    pub(crate) former: Option<id::Holder>,
-    /// As home: since when.
-    pub(crate) home_since: Option<Instant>,
     /// Since when the slice is known to have lost its records.
     pub(crate) blank_since: Option<Instant>,
     pub(crate) replica: Option<Replica>,
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -125,6 +125,7 @@
             flow: Some(peer::pack_flow(&lab::flow("dispatch", 1))),
             id: peer::pack_number(1),
             claimer: String::new(),
+            age_ms: 0,
         })),
     });
     let event = Event::Peer {
@@ -331,6 +332,7 @@
                 flow: None,
                 id: Vec::new(),
                 claimer: String::new(),
+                age_ms: 0,
             })),
         })
     };
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -393,6 +393,7 @@
             flow: Some(peer::pack_flow(flow)),
             id: peer::pack_number(Id(1).0),
             claimer: String::new(),
+            age_ms: 0,
         }),
         2 => Item::Feed(feed(flow, 7)),
         _ => Item::FeedEnd(peer::FeedEnd {
