Keep what the fleet knows while the store is away: search for a copy, handover before a stop, bystanders

Callers of a whole site found no instance that knew a server (12 of 771 requests of two seconds in time) when instances were restarted in turn with the store silent and others were killed. Now: all seeds, and whoever introduces itself by asking here, are asked at once while the store has not answered; old copies count after 0.3 s, the newest of them; a stop goes on until the store or two others that stay have the copy, within the grace time; an instance with nobody above it follows whoever has later contact.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -30,6 +30,7 @@
 use crate::entry::signals::Signals;
 use crate::entry::socket::Socket;
 use crate::entry::start;
+use crate::entry::stop;
 use crate::entry::stop::Stop;
 use crate::entry::view::Reading;
 use crate::error::Result;
@@ -44,7 +45,9 @@
 use crate::flow::Verdict;
 use crate::flow::directory::Record;
 use crate::id;
+use crate::poll::Reader;
 use crate::replica;
+use crate::replica::Handover;
 use crate::replica::Remark;
 use crate::replica::TELL_EVERY;
 use crate::replica::Update;
@@ -74,6 +77,9 @@
     /// When servers were last told of.
     told: Instant,
     stop: Option<Stop>,
+    reader: Reader,
+    /// Told after the signal to stop, once the copy may go.
+    kept: mpsc::Sender<()>,
 }
 
 /// Runs an entry instance until it is told to stop.
@@ -85,7 +91,9 @@
     let mut signals = Signals::new()?;
     let reader = start::reader(&settings, &adapter)?;
     let transport = reader.client().transport();
-    let (mut updates, replica) = start::follow(&settings, &adapter, reader, &log).await?;
+    let following = start::follow(&settings, &adapter, reader.clone(), &log).await?;
+    let (mut updates, replica) = following;
+    let (kept, mut is_kept) = mpsc::channel(1);
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
     let metrics = Metrics::new(transport, Arc::clone(&replica));
     metrics.prepare();
@@ -110,6 +118,8 @@
         replica,
         told: now,
         stop: None,
+        reader,
+        kept,
         adapter,
         settings,
     };
@@ -119,6 +129,11 @@
             biased;
             signal = signals.next() => instance.signal(signal, &file),
             Some(update) = updates.recv() => instance.learn(update),
+            Some(()) = is_kept.recv() => {
+                if let Some(stop) = &mut instance.stop {
+                    stop.note_kept();
+                }
+            }
             readable = instance.socket.readable() => {
                 if let Err(error) = readable {
                     warn!(instance.log, "packet socket failed"; "error" => %error);
@@ -321,12 +336,31 @@
                 info!(self.log, "stopping"; "flows" => self.plane.flows());
                 self.stop = Some(Stop::new(Instant::now(), self.settings.grace()));
                 self.set_gauges();
+                self.replica.begin_leaving();
+                self.hand_over();
             }
             Asked::Stop => {}
             Asked::Reload => self.reload(file),
         }
     }
 
+    /// Finds out when the copy may go with this instance.
+    fn hand_over(&self) {
+        let handover = Handover {
+            reader: self.reader.clone(),
+            me: start::member(&self.settings),
+            shared: Arc::clone(&self.replica),
+            log: self.log.clone(),
+        };
+        let kept = self.kept.clone();
+        tokio::spawn(async move {
+            time::sleep(stop::HAND_OVER_AFTER).await;
+            handover.wait().await;
+            // The process may be ending.
+            let _ = kept.send(()).await;
+        });
+    }
+
     /// Takes over what can change while the process runs. Settings that cannot
     /// be read leave those in force.
     fn reload(&mut self, file: &Path) {
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -120,6 +120,16 @@
     }
 }
 
+/// This instance, as others know it.
+pub(crate) fn member(settings: &Settings) -> Member {
+    Member {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        address: settings.advertised(),
+        link_mbps: settings.link_mbps,
+    }
+}
+
 /// Starts what keeps the copy of the store, and what passes it on.
 pub(crate) async fn follow(
     settings: &Settings,
@@ -136,12 +146,7 @@
     let pacer = Pacer::new(settings.link_mbps, Instant::now());
     let shared = Arc::new(replica::Shared::new(pacer));
     let (sender, updates) = mpsc::channel(UPDATES);
-    let member = Member {
-        instance: settings.instance.clone(),
-        zone: settings.zone.clone(),
-        address: settings.advertised(),
-        link_mbps: settings.link_mbps,
-    };
+    let member = member(settings);
     let sources = Sources {
         reader: reader.clone(),
         keys: replica::Keys {
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -11,10 +11,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -37,6 +39,10 @@
 /// a minute.
 const MOST_DELETED: usize = 512;
 
+/// Instances that have introduced themselves and are remembered: enough that some of
+/// them live, few enough to ask all at once for a copy.
+const MOST_INTRODUCED: usize = 8;
+
 /// What a copy tells its own instance.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -269,6 +275,11 @@
     /// Told after each change of the copy.
     changed: watch::Sender<()>,
     subscribers: AtomicUsize,
+    /// Instances with a copy that have asked here, the last ones last.
+    introduced: watch::Sender<Vec<SocketAddrV4>>,
+    /// Whether changes come from an instance that is not above this one.
+    is_detour: AtomicBool,
+    is_leaving: AtomicBool,
     /// What subscribers are sent, packed once for all of them.
     pub(crate) shelf: Shelf,
     /// Bytes a second that go to all subscribers together.
@@ -283,6 +294,9 @@
             state: Mutex::default(),
             changed: watch::Sender::new(()),
             subscribers: AtomicUsize::new(0),
+            introduced: watch::Sender::default(),
+            is_detour: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             shelf: Shelf::default(),
             pacer,
             board: Board::default(),
@@ -364,6 +378,41 @@
         large.map(Base::from).collect()
     }
 
+    /// Notes where an instance that has a copy can be asked for it.
+    pub(crate) fn introduce(&self, address: SocketAddrV4) {
+        self.introduced.send_if_modified(|known| {
+            let is_new = !known.contains(&address);
+            if is_new {
+                known.push(address);
+                let excess = known.len().saturating_sub(MOST_INTRODUCED);
+                known.drain(..excess);
+            }
+            is_new
+        });
+    }
+
+    /// Instances with a copy, as they introduce themselves.
+    pub(crate) fn introduced(&self) -> watch::Receiver<Vec<SocketAddrV4>> {
+        self.introduced.subscribe()
+    }
+
+    pub(crate) fn set_detour(&self, is_detour: bool) {
+        self.is_detour.store(is_detour, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_detour(&self) -> bool {
+        self.is_detour.load(Ordering::Relaxed)
+    }
+
+    /// From now on nobody should count on this copy.
+    pub(crate) fn begin_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn subscribers(&self) -> usize {
         self.subscribers.load(Ordering::Relaxed)
     }
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -1,6 +1,7 @@
 //! Keeping the copy up to date, from the instance above or from the store.
 
 mod poll;
+mod search;
 mod start;
 mod upstream;
 
@@ -111,6 +112,10 @@
     /// What is known of the large value beside the copy.
     large: Large,
     backoff: Backoff,
+    /// When this instance began to follow.
+    begun: Instant,
+    /// While an instance is followed that is not above: when the store is tried next.
+    detour_ends: Option<Instant>,
 }
 
 /// Keeps the copy up to date until the receiver is dropped.
@@ -131,6 +136,8 @@
         is_compacted: false,
         large: Large::default(),
         backoff: Backoff::new(options.backoff, options.seed),
+        begun: Instant::now(),
+        detour_ends: None,
     };
     while !matches!(follower.round().await, Err(End::Abandoned)) {}
 }
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -5,6 +5,11 @@
 //! the store's own link would be full for a fifth of a second and a thin link for
 //! 0.35 s more, while every caller waits. So the first few of a zone read it, those
 //! with the widest links, and the others get a packed copy from these.
+//!
+//! A second one: instances are restarted in turn, the store falls silent, and others
+//! are killed. Whoever starts then can only get a copy from whoever still has one, and
+//! every moment in which it asks one instance after the other, or waits for the store
+//! first, is one in which callers wait. See [`super::search`].
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -12,13 +17,15 @@
 use slog::info;
 use tokio::time;
 
-use crate::id;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
+use crate::replica::follow::Presence;
+use crate::replica::follow::SLOW_RETRY;
+use crate::replica::follow::search;
+use crate::replica::follow::search::Search;
 use crate::replica::register;
 use crate::replica::store;
 use crate::replica::subscribe::Report;
-use crate::replica::subscribe::Subscription;
 use crate::replica::tree::HEADS;
 
 /// Pause before an instance that does not answer yet is asked for a copy again.
@@ -31,8 +38,51 @@
     /// other, so that those to be asked may not be there yet. Whoever waits in vain
     /// for [`crate::replica::Pace::copy_wait`] reads the store as well, and takes
     /// what comes first.
+    ///
+    /// While the store has not answered, all who may have a copy are asked, too.
     pub(super) async fn begin(&mut self) -> Result<(), End> {
-        let feeders = self.feeders().await?;
+        let search = self.search().run();
+        tokio::pin!(search);
+        let feeders = tokio::select! {
+            feeders = self.feeders() => feeders,
+            report = &mut search => return self.take_found(report).await,
+        };
+        match feeders {
+            Ok(feeders) => self.begin_from(feeders).await,
+            Err(End::Failed(error)) => {
+                self.fail(&error).await?;
+                let pause = self.backoff.next_delay().min(SLOW_RETRY);
+                match time::timeout(pause, search).await {
+                    Ok(report) => self.take_found(report).await,
+                    Err(_) => Ok(()),
+                }
+            }
+            Err(abandoned) => Err(abandoned),
+        }
+    }
+
+    fn search(&self) -> Search {
+        Search {
+            me: self.sources.me.clone(),
+            seeds: self.sources.seeds.clone(),
+            fresh: self.sources.pace.fresh,
+            begun: self.begun,
+            introduced: self.shared.introduced(),
+            log: self.sources.log.clone(),
+        }
+    }
+
+    /// Takes over what a search has found, while the store does not answer.
+    async fn take_found(&mut self, report: Report) -> Result<(), End> {
+        info!(self.sources.log, "copy of another instance taken"; "revision" => report.revision,
+            "age_ms" => report.age.map(|age| age.as_millis() as u64));
+        // An upstream with an old copy is as good as any until the store answers.
+        self.presence = Presence::Away(time::Instant::now() + self.probe_pause);
+        self.take(report).await
+    }
+
+    /// Gets the first copy while the store answers.
+    async fn begin_from(&mut self, feeders: Vec<SocketAddrV4>) -> Result<(), End> {
         let reader = self.sources.reader.clone();
         let all = self.sources.keys.all;
         if feeders.is_empty() {
@@ -82,29 +132,14 @@
 
     /// The copy of an instance, as soon as it has one.
     async fn copy_from(&self, feeder: SocketAddrV4) -> Report {
-        loop {
-            match ask_for_copy(feeder, &self.sources.me.instance).await {
-                Ok(report) if self.is_fresh(&report) => return report,
-                // Its owner is cut off from the store. Who took it over would use
-                // routes that have been withdrawn meanwhile.
-                Ok(_) => {
-                    info!(self.sources.log, "copy of upstream too old"; "peer" => %feeder);
-                    return std::future::pending().await;
-                }
-                Err(error) => {
-                    info!(self.sources.log, "no copy from upstream"; "error" => %error);
-                }
-            }
-            time::sleep(RETRY).await;
+        let (me, log) = (&self.sources.me, &self.sources.log);
+        let report = search::await_copy(feeder, me, RETRY, log).await;
+        if self.is_fresh(&report) {
+            return report;
         }
+        // Its owner is cut off from the store. Who took it over would use routes that
+        // have been withdrawn meanwhile.
+        info!(log, "copy of upstream too old"; "peer" => %feeder);
+        std::future::pending().await
     }
 }
-
-async fn ask_for_copy(feeder: SocketAddrV4, me: &id::Instance) -> crate::Result<Report> {
-    let joined = Subscription::join(feeder, me, None, Vec::new()).await;
-    let (mut subscription, mut report) = joined?;
-    while !report.is_everything {
-        report = subscription.next().await?;
-    }
-    subscription.complete(report).await
-}
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -17,6 +17,7 @@
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
 use crate::replica::follow::Presence;
+use crate::replica::publish::HEARTBEAT;
 use crate::replica::store;
 use crate::replica::subscribe;
 use crate::replica::subscribe::Report;
@@ -26,6 +27,10 @@
 /// Pause before an upstream that failed is tried again.
 const REST: Duration = Duration::from_secs(2);
 
+/// The same while the store is away: an upstream that was restarted has nothing, and gets
+/// its copy from those that come back to it.
+const REST_AWAY: Duration = Duration::from_millis(500);
+
 /// Doublings of a pause at most: an upstream that was cut off for long is tried
 /// again 16 s after the cut at the latest.
 const MOST_DOUBLINGS: u32 = 3;
@@ -63,19 +68,28 @@
 const COPY_PATIENCE: Duration = Duration::from_secs(4);
 
 impl Follower {
-    /// The nearest upstream that does not rest. Before anything is known, which
-    /// is so when the store was silent at the start, any seed will do.
+    /// The nearest upstream that does not rest; nobody before anything is known.
     pub(super) fn candidate(&mut self) -> Option<SocketAddrV4> {
-        if self.shared.horizon().is_none() {
-            let seeds = if self.backoff.has_failed() {
-                self.sources.seeds.as_slice()
-            } else {
-                &[]
-            };
-            return seeds.iter().find(|seed| self.may_try(seed)).copied();
-        }
+        self.shared.horizon()?;
         let above = self.above();
-        above.into_iter().find(|address| self.may_try(address))
+        let nearest = above.into_iter().find(|address| self.may_try(address));
+        nearest.or_else(|| self.bystander())
+    }
+
+    /// Somebody to turn to when the store does not answer here and nobody above is of
+    /// use.
+    ///
+    /// The first of a zone has nobody above it. Refused by the store alone, it stayed as it
+    /// was for as long, and so did whoever the store refused together with it.
+    fn bystander(&mut self) -> Option<SocketAddrV4> {
+        if !self.is_store_away() {
+            return None;
+        }
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        let me = &self.sources.me;
+        let others = tree::bystanders(&me.instance, &me.zone, &members);
+        let mut others = others.into_iter().map(|member| member.address);
+        others.find(|address| self.may_try(address))
     }
 
     /// The instances to follow, the best first.
@@ -114,25 +128,25 @@
     /// cut off together with this one, and each try would make the copy older.
     pub(super) async fn subscribe(&mut self, mut peer: SocketAddrV4) -> Result<(), End> {
         self.rest(peer, REST);
-        let horizon = self.shared.horizon();
+        let is_above = self.above().contains(&peer);
         let (mut subscription, first) = match self.join(peer).await {
             Ok(joined) => joined,
             Err(error) => {
                 warn!(self.sources.log, "upstream not reached"; "error" => %error);
-                return self.catch_up().await;
+                return self.leave(is_above).await;
             }
         };
-        // Whoever has nothing yet must go on to the next seed: one with nothing either,
-        // itself for one, would keep it waiting.
-        let is_enough = horizon.is_some() && self.is_store_away();
-        let is_worth_it = self.is_fresh(&first) || is_enough;
-        if is_worth_it || horizon.is_none() {
-            self.take(first).await?;
-        }
-        if !is_worth_it {
-            return self.catch_up().await;
+        // While the store is away for all, one above with an old copy will do: news of
+        // its return comes that way. One that has no copy at all would keep the rest of
+        // the zone waiting for nothing.
+        let is_enough = is_above && first.age.is_some() && self.is_store_away();
+        let is_news = is_above || self.is_newer(&first);
+        if !(self.is_useful(&first) && is_news) && !is_enough {
+            return self.leave(is_above).await;
         }
+        self.take(first).await?;
         self.tell_source(peer).await?;
+        self.set_detour(!is_above);
         self.resting.remove(&peer);
         let mut has_told = false;
         let mut tell_at = Instant::now();
@@ -149,7 +163,13 @@
                 probed = &mut probe, if is_probing => Event::Probed(probed),
             };
             match event {
-                Event::Heard(Ok(report)) => self.take(report).await?,
+                Event::Heard(Ok(report)) => {
+                    self.take(report).await?;
+                    // Two that turned to each other would stay together for good.
+                    if self.detour_ends.is_some() && self.is_old() {
+                        break "no contact with the store".to_owned();
+                    }
+                }
                 Event::Heard(Err(error)) => break error.to_string(),
                 Event::Tell => {
                     tell_at = Instant::now() + TELL_EVERY;
@@ -168,6 +188,7 @@
                     {
                         subscription = moved;
                         peer = other;
+                        self.set_detour(false);
                     }
                 }
             }
@@ -176,14 +197,35 @@
             {
                 subscription = moved;
                 peer = nearer;
+                self.set_detour(false);
             }
         };
-        self.rest(peer, REST);
+        self.set_detour(false);
+        let rest = if self.is_store_away() {
+            REST_AWAY
+        } else {
+            REST
+        };
+        self.rest(peer, rest);
         warn!(self.sources.log, "upstream lost"; "peer" => %peer, "reason" => error);
         self.sender.send(Update::Source { upstream: None }).await?;
         self.catch_up().await
     }
 
+    /// After an instance that is of no use: the store is next, unless it is known not to
+    /// answer and there may be others to try.
+    async fn leave(&mut self, was_above: bool) -> Result<(), End> {
+        if was_above || !self.is_store_away() {
+            return self.catch_up().await;
+        }
+        Ok(())
+    }
+
+    fn set_detour(&mut self, is_detour: bool) {
+        self.detour_ends = is_detour.then(|| Instant::now() + self.probe_pause);
+        self.shared.set_detour(is_detour);
+    }
+
     /// Asks the store what is new of the servers, beside the upstream. The large value
     /// is left out: on a thin link its versions would hold up the answer for seconds.
     fn probe_store(&self) -> impl Future<Output = crate::Result<Batch>> + Send + use<> {
@@ -194,8 +236,12 @@
     }
 
     /// Heads probe a little earlier than the others, which turn to a head that the store
-    /// serves when it does not serve them.
+    /// serves when it does not serve them. On a detour the store is tried now and then
+    /// although the copy is young, so that it ends.
     fn is_probe_due(&mut self) -> bool {
+        if self.detour_ends.is_some_and(|end| Instant::now() >= end) {
+            return true;
+        }
         let is_head = self.above().len() < tree::HEADS;
         let share = if is_head { HEADS_PROBE_AT } else { 1.0 };
         let due = self.sources.pace.most_age.mul_f64(share);
@@ -214,6 +260,7 @@
             }
             Err(error) => {
                 self.fail(&error).await?;
+                self.detour_ends = self.detour_ends.map(|_| Instant::now() + self.probe_pause);
                 // A store that has dropped the history answers.
                 Ok(is_upstream_old && store::needs_listing(&error))
             }
@@ -230,7 +277,7 @@
         is_just_back
     }
 
-    /// Moves to any other instance that has heard the store lately.
+    /// Moves to any other instance above that has heard the store lately.
     async fn move_to_any(
         &mut self,
         peer: SocketAddrV4,
@@ -263,7 +310,7 @@
 
     /// Subscribes, and waits for all that the upstream knows more.
     async fn join(&self, peer: SocketAddrV4) -> crate::Result<(Subscription, Report)> {
-        let me = &self.sources.me.instance;
+        let me = &self.sources.me;
         let (horizon, bases) = (self.shared.horizon(), self.shared.bases());
         let joining = async {
             let joined = Subscription::join(peer, me, horizon, bases).await;
@@ -279,6 +326,20 @@
         report.age.is_some_and(|age| age < self.sources.pace.fresh)
     }
 
+    /// Whether an upstream with this report is worth a subscription. One that follows
+    /// somebody below it is for those only whom the store does not serve either: two that
+    /// follow each other would both believe the other's word for the store's.
+    fn is_useful(&self, report: &Report) -> bool {
+        self.is_fresh(report) && (!report.is_detour || self.is_store_away())
+    }
+
+    /// Whether a report is of a later contact with the store than this instance's. What
+    /// follows this instance tells its own contact back to it, some moments older.
+    fn is_newer(&self, report: &Report) -> bool {
+        let own = self.shared.age(Instant::now()).unwrap_or(Duration::MAX);
+        report.age.is_some_and(|age| age + HEARTBEAT < own)
+    }
+
     async fn tell_source(&mut self, peer: SocketAddrV4) -> Result<(), End> {
         let member = self.members.values().find(|m| m.address == peer);
         let upstream = member.map(|member| member.instance.clone());
@@ -301,7 +362,7 @@
     async fn move_to(&mut self, nearer: SocketAddrV4) -> Result<Option<Subscription>, End> {
         self.rest(nearer, MOVE_REST);
         match self.join(nearer).await {
-            Ok((subscription, first)) if self.is_fresh(&first) => {
+            Ok((subscription, first)) if self.is_useful(&first) => {
                 self.take(first).await?;
                 self.tell_source(nearer).await?;
                 self.resting.remove(&nearer);
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -70,6 +70,9 @@
     /// Large values against which it can be told newer ones.
     #[prost(message, repeated, tag = "3")]
     pub held: Vec<Held>,
+    /// Where it takes subscriptions itself.
+    #[prost(string, tag = "4")]
+    pub address: String,
 }
 
 /// One key.
@@ -162,6 +165,12 @@
     /// Small rows beside the others, packed.
     #[prost(message, optional, tag = "9")]
     pub packed: Option<Packed>,
+    /// Whether the sender follows an instance that is not above it.
+    #[prost(bool, tag = "10")]
+    pub is_detour: bool,
+    /// Whether the sender is about to end.
+    #[prost(bool, tag = "11")]
+    pub is_leaving: bool,
 }
 
 impl News {
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -148,6 +148,8 @@
             remarks: Vec::new(),
             has_more,
             packed: None,
+            is_detour: false,
+            is_leaving: false,
         })
     }
 
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -91,6 +91,7 @@
     let subscribe: Subscribe = read(&mut framed, peer).await?;
     info!(log, "subscriber joined"; "subscriber" => &subscribe.instance,
         "peer" => %peer, "horizon" => subscribe.horizon, "held" => subscribe.held.len());
+    introduce(&subscribe, shared, log);
     let subscriber = shared.board.enter();
     let mut outbox = Outbox::new(&subscribe, shared.known(&subscribe.held));
     let outcome = feed(&mut framed, peer, shared, &mut outbox, subscriber).await;
@@ -104,6 +105,22 @@
     outcome
 }
 
+/// Remembers whoever comes with a copy.
+///
+/// An instance that has lost its own while the store is away knows its seeds only,
+/// which may have lost theirs, too. Those that followed it before come back to it, and
+/// have what it needs.
+fn introduce(subscribe: &Subscribe, shared: &Shared, log: &Logger) {
+    if subscribe.horizon.is_none() {
+        return;
+    }
+    match subscribe.address.parse() {
+        Ok(address) => shared.introduce(address),
+        Err(_) => info!(log, "subscriber without an address";
+            "subscriber" => &subscribe.instance, "address" => &subscribe.address),
+    }
+}
+
 async fn feed(
     framed: &mut Stream,
     peer: SocketAddr,
@@ -164,6 +181,8 @@
     let news = shared.look(|copy| outbox.compose(copy, age_ms, &pack, may_send));
     let mut news = news.map_err(|error| lost("packing for subscriber", peer, error))?;
     news.remarks = shared.board.zone(now);
+    news.is_detour = shared.is_detour();
+    news.is_leaving = shared.is_leaving();
     let packed = news.pack_rows();
     packed.map_err(|error| lost("packing for subscriber", peer, error))?;
     let rows: usize = news.rows.iter().map(Message::encoded_len).sum();
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -16,9 +16,9 @@
 
 use crate::error::Error;
 use crate::error::Result;
-use crate::id;
 use crate::platform::Change;
 use crate::platform::Entry;
+use crate::replica::Member;
 use crate::replica::board::Remark;
 use crate::replica::board::Remarks;
 use crate::replica::inbox::Complete;
@@ -64,6 +64,10 @@
     pub(crate) awaits_copy: bool,
     /// Whether more small changes follow at once.
     pub(crate) has_more: bool,
+    /// Whether the upstream follows one that is not above it.
+    pub(crate) is_detour: bool,
+    /// Whether the upstream is about to end.
+    pub(crate) is_leaving: bool,
     /// What the zone's instances counted against servers.
     pub(crate) remarks: Vec<Remark>,
     /// The value that is complete with this.
@@ -108,7 +112,7 @@
     /// Connects, says what is known here, and waits for the first message.
     pub(crate) async fn join(
         peer: SocketAddrV4,
-        me: &id::Instance,
+        me: &Member,
         horizon: Option<u64>,
         bases: Vec<Base>,
     ) -> Result<(Self, Report)> {
@@ -117,9 +121,10 @@
             let stream = stream.map_err(|error| unreachable(peer, &error))?;
             let framed = Framed::new(stream, message::codec());
             let subscribe = Subscribe {
-                instance: me.to_string(),
+                instance: me.instance.to_string(),
                 horizon,
                 held: bases.iter().map(Held::from).collect(),
+                address: me.address.to_string(),
             };
             let mut subscription = Self {
                 framed,
@@ -183,6 +188,8 @@
             age: news.age_ms.map(Duration::from_millis),
             awaits_copy: news.awaits_copy,
             has_more: news.has_more,
+            is_detour: news.is_detour,
+            is_leaving: news.is_leaving,
             remarks: news.remarks,
             received: None,
         };
--- a/src/replica/tree.rs
+++ b/src/replica/tree.rs
@@ -1,7 +1,9 @@
 //! Who is above whom.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::hash::Hasher;
+use std::net::SocketAddrV4;
 
 use siphasher::sip::SipHasher13;
 
@@ -56,6 +58,41 @@
     candidates
 }
 
+/// Instances of the own zone to turn to outside the order of ranks; as many as may be
+/// refused by the store beside this one where it refuses a third.
+const NEIGHBOURS: usize = 8;
+
+/// The same of each other zone.
+const ABROAD: usize = 2;
+
+/// Whom to ask when the store does not answer and nobody above is of use: those that rank
+/// after this instance, then the first ones of the other zones, zones by name.
+pub fn bystanders<'a>(
+    me: &id::Instance,
+    zone: &id::Zone,
+    members: &'a [Member],
+) -> Vec<&'a Member> {
+    let ranked_here = ranked(zone, members);
+    let after = ranked_here
+        .into_iter()
+        .skip_while(|member| member.instance != *me)
+        .skip(1);
+    let mut bystanders: Vec<&Member> = after.take(NEIGHBOURS).collect();
+    let zones: BTreeSet<&id::Zone> = members.iter().map(|member| &member.zone).collect();
+    for other in zones.into_iter().filter(|other| *other != zone) {
+        bystanders.extend(ranked(other, members).into_iter().take(ABROAD));
+    }
+    bystanders
+}
+
+/// Where all other members can be asked, those of the own zone first.
+pub(crate) fn neighbours_first(me: &Member, members: &[Member]) -> Vec<SocketAddrV4> {
+    let others = members.iter().filter(|other| other.instance != me.instance);
+    let mut others: Vec<&Member> = others.collect();
+    others.sort_by_key(|other| (other.zone != me.zone, rank(other)));
+    others.into_iter().map(|other| other.address).collect()
+}
+
 /// The members of a zone, the first by rank first.
 pub(crate) fn ranked<'a>(zone: &id::Zone, members: &'a [Member]) -> Vec<&'a Member> {
     let mut ranked: Vec<&Member> = members.iter().filter(|m| m.zone == *zone).collect();
--- a/tests/replication/support.rs
+++ b/tests/replication/support.rs
@@ -93,6 +93,7 @@
             .filter(|entry| entry.value.len() > 4 << 10);
         let held: Vec<Base> = large.map(Base::from).collect();
         let subscribe = Subscribe {
+            address: String::new(),
             instance: "subscriber".to_owned(),
             horizon: subscriber.horizon(),
             held: held.iter().map(Held::from).collect(),
