--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -55,6 +55,9 @@
 /// tries, a second at most, and a call.
 const TELLS_WITHIN: Duration = Duration::from_millis(1_300);
 
+/// Why an upstream is left whose copy grows old while others do not.
+const NO_CONTACT: &str = "no contact with the store";
+
 /// What happens while an upstream is followed.
 enum Event {
     Heard(crate::Result<Report>),
@@ -126,14 +129,35 @@
     ///
     /// Whatever ends it, the store is asked next, at once: other upstreams may be
     /// cut off together with this one, and each try would make the copy older.
-    pub(super) async fn subscribe(&mut self, mut peer: SocketAddrV4) -> Result<(), End> {
-        self.rest(peer, REST);
+    pub(super) async fn subscribe(&mut self, peer: SocketAddrV4) -> Result<(), End> {
         let is_above = self.above().contains(&peer);
-        let (mut subscription, first) = match self.join(peer).await {
+        let Some(subscription) = self.enter(peer, is_above).await? else {
+            return self.leave(is_above).await;
+        };
+        let (last, reason) = self.attend(subscription, peer).await?;
+        self.set_detour(false);
+        let pause = match self.is_store_away() {
+            true => REST_AWAY,
+            false => REST,
+        };
+        self.rest(last, pause);
+        warn!(self.sources.log, "upstream lost"; "peer" => %last, "reason" => reason);
+        self.sender.send(Update::Source { upstream: None }).await?;
+        self.catch_up().await
+    }
+
+    /// Subscribes to an instance if that is of use.
+    async fn enter(
+        &mut self,
+        peer: SocketAddrV4,
+        is_above: bool,
+    ) -> Result<Option<Subscription>, End> {
+        self.rest(peer, REST);
+        let (subscription, first) = match self.join(peer).await {
             Ok(joined) => joined,
             Err(error) => {
                 warn!(self.sources.log, "upstream not reached"; "error" => %error);
-                return self.leave(is_above).await;
+                return Ok(None);
             }
         };
         // While the store is away for all, one above with an old copy will do: news of
@@ -141,18 +165,29 @@
         // the zone waiting for nothing.
         let is_enough = is_above && first.age.is_some() && self.is_store_away();
         let is_news = is_above || self.is_newer(&first);
-        if !(self.is_useful(&first) && is_news) && !is_enough {
-            return self.leave(is_above).await;
+        let is_worth_it = is_enough || is_news && self.is_useful(&first);
+        if !is_worth_it {
+            return Ok(None);
         }
         self.take(first).await?;
         self.tell_source(peer).await?;
         self.set_detour(!is_above);
         self.resting.remove(&peer);
+        Ok(Some(subscription))
+    }
+
+    /// Takes what an upstream tells until it is of no use any more, moving to better
+    /// ones meanwhile; the last one, and why it was left.
+    async fn attend(
+        &mut self,
+        mut subscription: Subscription,
+        mut peer: SocketAddrV4,
+    ) -> Result<(SocketAddrV4, String), End> {
         let mut has_told = false;
         let mut tell_at = Instant::now();
         let mut probe = Either::Left(future::pending());
         let mut is_probing = false;
-        let error = loop {
+        loop {
             if !is_probing && self.is_probe_due() && !self.is_store_away() {
                 probe = Either::Right(Box::pin(self.probe_store()));
                 is_probing = true;
@@ -167,49 +202,35 @@
                     self.take(report).await?;
                     // Two that turned to each other would stay together for good.
                     if self.detour_ends.is_some() && self.is_old() {
-                        break "no contact with the store".to_owned();
+                        return Ok((peer, NO_CONTACT.to_owned()));
                     }
                 }
-                Event::Heard(Err(error)) => break error.to_string(),
+                Event::Heard(Err(error)) => return Ok((peer, error.to_string())),
                 Event::Tell => {
                     tell_at = Instant::now() + TELL_EVERY;
                     if let Err(error) = self.tell(&mut subscription, &mut has_told).await {
-                        break error.to_string();
+                        return Ok((peer, error.to_string()));
                     }
                 }
                 Event::Probed(probed) => {
                     probe = Either::Left(future::pending());
                     is_probing = false;
                     if self.take_probe(probed).await? {
-                        break "no contact with the store".to_owned();
+                        return Ok((peer, NO_CONTACT.to_owned()));
                     }
                     if matches!(self.presence, Presence::Away(_))
-                        && let Some((other, moved)) = self.move_to_any(peer).await?
+                        && let Some(moved) = self.move_to_any(peer).await?
                     {
-                        subscription = moved;
-                        peer = other;
-                        self.set_detour(false);
+                        (peer, subscription) = moved;
                     }
                 }
             }
             if let Some(nearer) = self.nearer(peer)
                 && let Some(moved) = self.move_to(nearer).await?
             {
-                subscription = moved;
-                peer = nearer;
-                self.set_detour(false);
+                (peer, subscription) = (nearer, moved);
             }
-        };
-        self.set_detour(false);
-        let rest = if self.is_store_away() {
-            REST_AWAY
-        } else {
-            REST
-        };
-        self.rest(peer, rest);
-        warn!(self.sources.log, "upstream lost"; "peer" => %peer, "reason" => error);
-        self.sender.send(Update::Source { upstream: None }).await?;
-        self.catch_up().await
+        }
     }
 
     /// After an instance that is of no use: the store is next, unless it is known not to
@@ -365,6 +386,7 @@
             Ok((subscription, first)) if self.is_useful(&first) => {
                 self.take(first).await?;
                 self.tell_source(nearer).await?;
+                self.set_detour(false);
                 self.resting.remove(&nearer);
                 Ok(Some(subscription))
             }
