Let the loudest instance count as much as all others say together

Confirmed by others its word now counts whole up to what they say; alone it counts nothing, as before.

--- a/src/replica/board.rs
+++ b/src/replica/board.rs
@@ -124,16 +124,21 @@
         self.loudest_hollow + self.loudest_stalls
     }
 
-    /// What is left without the word of the one that says most.
+    /// What more than one instance says: the word of the loudest counts as much as all
+    /// others say together.
     ///
     /// Where each instance sends a server a request a second or less, nobody has much to
     /// say for it. One that lies, or that alone is cut off from the server, took all of
     /// its work: 7 requests of 1,050 were left to a server that answered each of them. Whoever
     /// has seen it fail itself goes by that; the others wait for a second one.
-    fn without_loudest(self) -> Self {
+    fn confirmed(self) -> Self {
+        let confirmed = |all: f32, loudest: f32| {
+            let others = (all - loudest).max(0.0);
+            others + others.min(loudest)
+        };
         Self {
-            hollow: (self.hollow - self.loudest_hollow).max(0.0),
-            stalls: (self.stalls - self.loudest_stalls).max(0.0),
+            hollow: confirmed(self.hollow, self.loudest_hollow),
+            stalls: confirmed(self.stalls, self.loudest_stalls),
             ..self
         }
     }
@@ -245,7 +250,7 @@
     /// What the zone counted and more than one instance says.
     pub fn confirmed(&self, now: Instant) -> Vec<Remark> {
         let zone = self.zone(now).into_iter();
-        zone.map(Remark::without_loudest).collect()
+        zone.map(Remark::confirmed).collect()
     }
 
     /// What the zone counted, as far as it is known here: what is told from above,
