Withdraw from the routers while most of a small zone stands still and another zone can take its callers

Weighed: silence of the subscription alone (the first of a zone hears nobody); zones of more than eight (most of twenty do not stand still at once, and looks grow with the square).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
 mod status;
 mod stop;
 mod view;
+mod withdrawal;
 
 pub use adapter::Adapter;
 pub use adapter::Codec;
@@ -29,3 +30,4 @@
 pub use settings::Settings;
 pub use status::Server;
 pub use status::Status;
+pub use withdrawal::Withdrawal;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -33,6 +33,7 @@
 use crate::entry::stop;
 use crate::entry::stop::Stop;
 use crate::entry::view::Reading;
+use crate::entry::withdrawal::Withdrawal;
 use crate::error::Result;
 use crate::flow::Belief;
 use crate::flow::Counts;
@@ -50,6 +51,7 @@
 use crate::replica::Handover;
 use crate::replica::Remark;
 use crate::replica::TELL_EVERY;
+use crate::replica::Tally;
 use crate::replica::Update;
 
 /// Packets taken before anything else gets its turn.
@@ -77,6 +79,7 @@
     /// When servers were last told of.
     told: Instant,
     stop: Option<Stop>,
+    withdrawal: Withdrawal,
     reader: Reader,
     /// Told after the signal to stop, once the copy may go.
     kept: mpsc::Sender<()>,
@@ -94,6 +97,9 @@
     let following = start::follow(&settings, &adapter, reader.clone(), &log).await?;
     let (mut updates, replica) = following;
     let (kept, mut is_kept) = mpsc::channel(1);
+    let (sender, mut tallies) = mpsc::channel(1);
+    let me = start::member(&settings);
+    tokio::spawn(replica::take_census(me, Arc::clone(&replica), sender));
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
     let metrics = Metrics::new(transport, Arc::clone(&replica));
     metrics.prepare();
@@ -118,6 +124,7 @@
         replica,
         told: now,
         stop: None,
+        withdrawal: Withdrawal::default(),
         reader,
         kept,
         adapter,
@@ -129,6 +136,7 @@
             biased;
             signal = signals.next() => instance.signal(signal, &file),
             Some(update) = updates.recv() => instance.learn(update),
+            Some(tally) = tallies.recv() => instance.note_tally(&tally),
             Some(()) = is_kept.recv() => {
                 if let Some(stop) = &mut instance.stop {
                     stop.note_kept();
@@ -320,7 +328,8 @@
 
     fn set_gauges(&self) {
         let metrics = &self.shared.metrics;
-        let is_ready = self.plane.is_ready() && self.stop.is_none();
+        let is_wanted = self.stop.is_none() && !self.withdrawal.is_withdrawn();
+        let is_ready = self.plane.is_ready() && is_wanted;
         if is_ready != self.shared.is_ready.swap(is_ready, Ordering::Relaxed) {
             info!(self.log, "readiness"; "is_ready" => is_ready);
         }
@@ -344,6 +353,21 @@
         }
     }
 
+    /// Takes in who of the fleet answers.
+    fn note_tally(&mut self, tally: &Tally) {
+        let before = self.withdrawal.is_withdrawn();
+        self.withdrawal.note(tally);
+        let is_withdrawn = self.withdrawal.is_withdrawn();
+        if is_withdrawn == before {
+            return;
+        }
+        info!(self.log, "withdrawal"; "is_withdrawn" => is_withdrawn,
+            "answering" => tally.here.answering, "all" => tally.here.all,
+            "zones_asked" => tally.elsewhere.len());
+        self.replica.set_withdrawn(is_withdrawn);
+        self.set_gauges();
+    }
+
     /// Finds out when the copy may go with this instance.
     fn hand_over(&self) {
         let handover = Handover {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -22,6 +22,7 @@
 mod backlog;
 mod bandwidth;
 mod board;
+mod census;
 mod copy;
 mod follow;
 mod handover;
@@ -37,6 +38,7 @@
 mod tree;
 
 pub(crate) use board::TELL_EVERY;
+pub(crate) use census::take as take_census;
 pub(crate) use copy::Shared;
 pub(crate) use follow::Sources;
 pub(crate) use follow::follow;
@@ -50,6 +52,8 @@
 pub use board::Board;
 pub use board::Remark;
 pub use board::Remarks;
+pub use census::Headcount;
+pub use census::Tally;
 pub use copy::Copy;
 pub use copy::Place;
 pub use copy::Snapshot;
--- /dev/null
+++ b/src/replica/census.rs
@@ -0,0 +1,119 @@
+//! Who answers, of this zone and of the others.
+//!
+//! Routers use all instances of a zone when less than half of them are ready. When most
+//! of a small zone stand still, two flows of three go to those, and only the one that is
+//! left can change that, see [`crate::entry`]'s withdrawal. So it has to know. In a large
+//! zone that is not worth the looks: most of twenty do not stand still at once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::id;
+use crate::replica::Member;
+use crate::replica::Shared;
+use crate::replica::subscribe;
+
+/// Time between two looks. An instance that stands still does so for seconds, and
+/// routers notice it after one.
+const LOOK_EVERY: Duration = Duration::from_millis(400);
+
+/// Instances of a zone that look at each other, at most: two or three looks a second and
+/// neighbour, a fiftieth of what an instance's processor time is spent on.
+const LARGEST_ZONE: usize = 8;
+
+/// Instances of another zone that are asked whether it can take callers.
+const ASKED_ABROAD: usize = 4;
+
+/// How many of a zone answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Headcount {
+    /// Instances that answer; the one that asks counts as one.
+    pub answering: usize,
+    /// Those of them that have withdrawn from their routers.
+    pub withdrawn: usize,
+    /// Instances that are registered or, elsewhere, were asked.
+    pub all: usize,
+}
+
+/// One look at the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// This zone.
+    pub here: Headcount,
+    /// Other zones; empty while all is well here.
+    pub elsewhere: Vec<Headcount>,
+}
+
+impl Headcount {
+    /// Whether less than half answer: routers then use those that do not, too.
+    pub fn is_minority(&self) -> bool {
+        self.answering * 2 < self.all
+    }
+}
+
+/// Looks at the fleet until the receiver is dropped.
+pub(crate) async fn take(me: Member, shared: Arc<Shared>, sender: mpsc::Sender<Tally>) {
+    loop {
+        time::sleep(LOOK_EVERY).await;
+        let tally = look(&me, &shared).await;
+        if sender.send(tally).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn look(me: &Member, shared: &Shared) -> Tally {
+    let members = shared.members();
+    let (here, abroad): (Vec<Member>, Vec<Member>) = members
+        .into_iter()
+        .partition(|member| member.zone == me.zone);
+    if here.len() > LARGEST_ZONE {
+        return Tally::default();
+    }
+    let here = count(me, &here).await;
+    if !here.is_minority() {
+        return Tally {
+            here,
+            elsewhere: Vec::new(),
+        };
+    }
+    let mut zones: BTreeMap<id::Zone, Vec<Member>> = BTreeMap::new();
+    for member in abroad {
+        let zone = zones.entry(member.zone.clone()).or_default();
+        if zone.len() < ASKED_ABROAD {
+            zone.push(member);
+        }
+    }
+    let counts = zones.values().map(|zone| count(me, zone));
+    Tally {
+        here,
+        elsewhere: future::join_all(counts).await,
+    }
+}
+
+/// Asks these instances, all at once.
+async fn count(me: &Member, members: &[Member]) -> Headcount {
+    let looks = members.iter().map(async |member| {
+        if member.instance == me.instance {
+            return Some(false);
+        }
+        // Whatever the reason, it does not answer.
+        let sign = subscribe::look(member.address, me).await.ok();
+        sign.map(|sign| sign.is_withdrawn)
+    });
+    let signs = future::join_all(looks).await;
+    Headcount {
+        answering: signs.iter().flatten().count(),
+        withdrawn: signs
+            .iter()
+            .flatten()
+            .filter(|withdrawn| **withdrawn)
+            .count(),
+        all: members.len(),
+    }
+}
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -28,11 +28,13 @@
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::platform::poll::Refusal;
+use crate::replica::Member;
 use crate::replica::board::Board;
 use crate::replica::message::Held;
 use crate::replica::pacer::Pacer;
 use crate::replica::pack::Base;
 use crate::replica::pack::Shelf;
+use crate::replica::register;
 
 /// Deleted keys that are remembered; who has not heard of an earlier one gets a
 /// whole copy. Twice the servers that the largest deployment planned replaces in
@@ -280,6 +282,7 @@
     /// Whether changes come from an instance that is not above this one.
     is_detour: AtomicBool,
     is_leaving: AtomicBool,
+    is_withdrawn: AtomicBool,
     /// What subscribers are sent, packed once for all of them.
     pub(crate) shelf: Shelf,
     /// Bytes a second that go to all subscribers together.
@@ -297,6 +300,7 @@
             introduced: watch::Sender::default(),
             is_detour: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            is_withdrawn: AtomicBool::new(false),
             shelf: Shelf::default(),
             pacer,
             board: Board::default(),
@@ -413,6 +417,25 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn set_withdrawn(&self, is_withdrawn: bool) {
+        self.is_withdrawn.store(is_withdrawn, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        self.is_withdrawn.load(Ordering::Relaxed)
+    }
+
+    /// The other instances, as far as their entries can be read; whoever follows the
+    /// store tells of those that cannot.
+    pub(crate) fn members(&self) -> Vec<Member> {
+        self.look(|copy| {
+            let members = copy
+                .entries()
+                .filter_map(|entry| register::member(&entry.key, &entry.value)?.ok());
+            members.collect()
+        })
+    }
+
     pub(crate) fn subscribers(&self) -> usize {
         self.subscribers.load(Ordering::Relaxed)
     }
--- a/src/replica/handover.rs
+++ b/src/replica/handover.rs
@@ -92,14 +92,7 @@
     }
 
     fn others(&self) -> Vec<SocketAddrV4> {
-        let members = self.shared.look(|copy| {
-            let members = copy.entries().filter_map(|entry| {
-                let member = register::member(&entry.key, &entry.value)?;
-                // Who follows the store has told of those that cannot be read.
-                member.ok()
-            });
-            members.collect::<Vec<Member>>()
-        });
+        let members = self.shared.members();
         let others = tree::neighbours_first(&self.me, &members);
         others.into_iter().take(MOST_ASKED).collect()
     }
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -73,6 +73,9 @@
     /// Where it takes subscriptions itself.
     #[prost(string, tag = "4")]
     pub address: String,
+    /// Whether one heartbeat is all that is asked for.
+    #[prost(bool, tag = "5")]
+    pub is_look: bool,
 }
 
 /// One key.
@@ -171,6 +174,9 @@
     /// Whether the sender is about to end.
     #[prost(bool, tag = "11")]
     pub is_leaving: bool,
+    /// Whether the sender has withdrawn from its routers.
+    #[prost(bool, tag = "12")]
+    pub is_withdrawn: bool,
 }
 
 impl News {
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -150,6 +150,7 @@
             packed: None,
             is_detour: false,
             is_leaving: false,
+            is_withdrawn: false,
         })
     }
 
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -65,6 +65,35 @@
 }
 
 async fn serve(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>, log: Logger) {
+    let mut framed = Framed::new(stream, message::codec());
+    let outcome = match read(&mut framed, peer).await {
+        Ok(subscribe) if subscribe.is_look => answer_look(&mut framed, peer, &shared).await,
+        Ok(subscribe) => admit(&mut framed, peer, &subscribe, &shared, &log).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = outcome {
+        info!(log, "subscriber lost"; "error" => %error);
+    }
+}
+
+/// Tells that this instance runs, to whoever wants to know just that.
+async fn answer_look(framed: &mut Stream, peer: SocketAddr, shared: &Shared) -> Result<()> {
+    let news = News {
+        is_leaving: shared.is_leaving(),
+        is_withdrawn: shared.is_withdrawn(),
+        ..News::default()
+    };
+    send(framed, peer, &news).await
+}
+
+/// Serves a subscriber if there is room for it.
+async fn admit(
+    framed: &mut Stream,
+    peer: SocketAddr,
+    subscribe: &Subscribe,
+    shared: &Arc<Shared>,
+    log: &Logger,
+) -> Result<()> {
     let count = shared.join();
     let outcome = if count > MOST_SUBSCRIBERS {
         Err(Error::Refused {
@@ -73,28 +102,25 @@
             reason: "too many subscribers".to_owned(),
         })
     } else {
-        tell(stream, peer, &shared, &log).await
+        tell(framed, peer, subscribe, shared, log).await
     };
     shared.leave();
-    if let Err(error) = outcome {
-        info!(log, "subscriber lost"; "error" => %error);
-    }
+    outcome
 }
 
 async fn tell(
-    stream: TcpStream,
+    framed: &mut Stream,
     peer: SocketAddr,
+    subscribe: &Subscribe,
     shared: &Arc<Shared>,
     log: &Logger,
 ) -> Result<()> {
-    let mut framed = Framed::new(stream, message::codec());
-    let subscribe: Subscribe = read(&mut framed, peer).await?;
     info!(log, "subscriber joined"; "subscriber" => &subscribe.instance,
         "peer" => %peer, "horizon" => subscribe.horizon, "held" => subscribe.held.len());
-    introduce(&subscribe, shared, log);
+    introduce(subscribe, shared, log);
     let subscriber = shared.board.enter();
-    let mut outbox = Outbox::new(&subscribe, shared.known(&subscribe.held));
-    let outcome = feed(&mut framed, peer, shared, &mut outbox, subscriber).await;
+    let mut outbox = Outbox::new(subscribe, shared.known(&subscribe.held));
+    let outcome = feed(framed, peer, shared, &mut outbox, subscriber).await;
     shared.board.leave(subscriber);
     let waiting = outbox.waiting();
     if waiting.rows > 0 || waiting.bytes > 0 {
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -125,6 +125,7 @@
                 horizon,
                 held: bases.iter().map(Held::from).collect(),
                 address: me.address.to_string(),
+                is_look: false,
             };
             let mut subscription = Self {
                 framed,
@@ -219,6 +220,39 @@
     }
 }
 
+/// What an instance answers to a look.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sign {
+    /// Whether it has withdrawn from its routers.
+    pub(crate) is_withdrawn: bool,
+}
+
+/// Looks whether an instance runs: a process that stands still takes connections as
+/// before, and answers nothing.
+pub(crate) async fn look(peer: SocketAddrV4, me: &Member) -> Result<Sign> {
+    let looking = async {
+        let stream = TcpStream::connect(peer).await;
+        let stream = stream.map_err(|error| unreachable(peer, &error))?;
+        let mut framed = Framed::new(stream, message::codec());
+        let subscribe = Subscribe {
+            instance: me.instance.to_string(),
+            is_look: true,
+            ..Subscribe::default()
+        };
+        let bytes: Bytes = subscribe.encode_to_vec().into();
+        let sent = framed.send(bytes).await;
+        sent.map_err(|error| lost(peer, error))?;
+        let frame = framed.next().await.ok_or_else(|| lost(peer, "closed"))?;
+        let frame = frame.map_err(|error| lost(peer, error))?;
+        let news: News = message::decode("answer to a look", &peer.to_string(), frame)?;
+        Ok(Sign {
+            is_withdrawn: news.is_withdrawn,
+        })
+    };
+    let looked = time::timeout(JOIN_TIMEOUT, looking).await;
+    looked.unwrap_or_else(|_| Err(lost(peer, "timed out")))
+}
+
 /// A whole copy with the changes after it.
 fn merge(copy: Vec<Change>, later: Vec<Change>) -> Vec<Change> {
     let mut merged: BTreeMap<String, Entry> = BTreeMap::new();
--- a/tests/replication/support.rs
+++ b/tests/replication/support.rs
@@ -94,6 +94,7 @@
         let held: Vec<Base> = large.map(Base::from).collect();
         let subscribe = Subscribe {
             address: String::new(),
+            is_look: false,
             instance: "subscriber".to_owned(),
             horizon: subscriber.horizon(),
             held: held.iter().map(Held::from).collect(),
