--- a/tests/replication/board.rs
+++ b/tests/replication/board.rs
@@ -96,9 +96,9 @@
 }
 
 // The loudest of all instances is known at the top, by whichever ways the sums came, and
-// what is left without it is what counts.
+// counts no more than all others together.
 #[test]
-fn the_loudest_is_left_out_of_what_counts() {
+fn the_loudest_counts_no_more_than_all_others() {
     let now = Instant::now();
     let board = Board::default();
     board.set_own(vec![remark(1, 4.0, 0.5)]);
@@ -106,12 +106,15 @@
     board.hear_below(now, first, from(3, vec![sum(1, 2.0, 2.5, 1.5)]));
     board.hear_below(now, second, from(1, vec![remark(1, 0.0, 1.0)]));
     assert_eq!(board.zone(now), vec![sum(1, 6.0, 4.0, 1.5)]);
-    assert_eq!(board.confirmed(now)[0].stalls, 2.5);
+    assert_eq!(board.confirmed(now)[0].stalls, 4.0);
+    board.leave(first);
+    assert_eq!(board.zone(now), vec![sum(1, 4.0, 1.5, 1.0)]);
+    assert_eq!(board.confirmed(now)[0].stalls, 1.0);
     let lower = Board::default();
     lower.hear_above(now, board.zone(now));
     assert_eq!(
         lower.confirmed(now)[0].stalls,
-        2.5,
-        "left out once, not again"
+        1.0,
+        "held down once, not again"
     );
 }
