--- /dev/null
+++ b/src/entry/remarks.rs
@@ -0,0 +1,33 @@
+//! Counts of how requests end, between the decisions about flows and the messages to
+//! other instances.
+
+use crate::flow::Counts;
+use crate::flow::Incarnation;
+use crate::flow::Serial;
+use crate::flow::Testimony;
+use crate::replica::Remark;
+
+/// What an instance counted, as it is told to the others.
+pub fn remark(told: &Testimony) -> Remark {
+    Remark {
+        serial: told.serial.0,
+        incarnation: told.incarnation.map(|life| life.0),
+        answers: told.counts.answers as f32,
+        hollow: told.counts.hollow as f32,
+        stalls: told.counts.stalls as f32,
+        ..Remark::default()
+    }
+}
+
+/// What others told, as the decisions take it.
+pub fn testimony(remark: &Remark) -> Testimony {
+    Testimony {
+        serial: Serial(remark.serial),
+        incarnation: remark.incarnation.map(Incarnation),
+        counts: Counts {
+            answers: remark.answers.into(),
+            hollow: remark.hollow.into(),
+            stalls: remark.stalls.into(),
+        },
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -26,6 +26,8 @@
 use crate::entry::journal::Journal;
 use crate::entry::metric::Metrics;
 use crate::entry::refusals::Refusals;
+use crate::entry::remarks::remark;
+use crate::entry::remarks::testimony;
 use crate::entry::signals::Asked;
 use crate::entry::signals::Signals;
 use crate::entry::socket::Socket;
@@ -36,12 +38,8 @@
 use crate::entry::withdrawal::Withdrawal;
 use crate::error::Result;
 use crate::flow::Belief;
-use crate::flow::Counts;
-use crate::flow::Incarnation;
 use crate::flow::Plane;
 use crate::flow::Presence;
-use crate::flow::Serial;
-use crate::flow::Testimony;
 use crate::flow::Timing;
 use crate::flow::Verdict;
 use crate::flow::directory::Record;
@@ -49,7 +47,6 @@
 use crate::poll::Reader;
 use crate::replica;
 use crate::replica::Handover;
-use crate::replica::Remark;
 use crate::replica::TELL_EVERY;
 use crate::replica::Tally;
 use crate::replica::Update;
@@ -421,29 +418,6 @@
     }
 }
 
-fn remark(told: &Testimony) -> Remark {
-    Remark {
-        serial: told.serial.0,
-        incarnation: told.incarnation.map(|life| life.0),
-        answers: told.counts.answers as f32,
-        hollow: told.counts.hollow as f32,
-        stalls: told.counts.stalls as f32,
-        ..Remark::default()
-    }
-}
-
-fn testimony(remark: &Remark) -> Testimony {
-    Testimony {
-        serial: Serial(remark.serial),
-        incarnation: remark.incarnation.map(Incarnation),
-        counts: Counts {
-            answers: remark.answers.into(),
-            hollow: remark.hollow.into(),
-            stalls: remark.stalls.into(),
-        },
-    }
-}
-
 fn server(record: &Record, now: Instant) -> Server {
     let age = |at: Instant| (now - at).as_millis() as u64;
     Server {
--- a/tests/flow/neighbours.rs
+++ b/tests/flow/neighbours.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use godwitreel::entry::remark;
+use godwitreel::entry::testimony;
 use godwitreel::flow::Belief;
-use godwitreel::flow::Counts;
-use godwitreel::flow::Serial;
 use godwitreel::flow::Testimony;
 use godwitreel::replica::Board;
 use godwitreel::replica::Remark;
@@ -22,29 +22,6 @@
 /// Messages: a minute and a half.
 const MESSAGES: usize = 450;
 
-fn remark(told: &Testimony) -> Remark {
-    Remark {
-        serial: told.serial.0,
-        incarnation: None,
-        answers: told.counts.answers as f32,
-        hollow: told.counts.hollow as f32,
-        stalls: told.counts.stalls as f32,
-        ..Remark::default()
-    }
-}
-
-fn testimony(remark: &Remark) -> Testimony {
-    Testimony {
-        serial: Serial(remark.serial),
-        incarnation: None,
-        counts: Counts {
-            answers: remark.answers.into(),
-            hollow: remark.hollow.into(),
-            stalls: remark.stalls.into(),
-        },
-    }
-}
-
 /// The zone's instances: who tells what, and how servers answer each.
 struct Zone {
     loads: Vec<Load>,
