Let one search for a copy go on through all tries of the store

An instance on a link of 0.5 Mbit/s beside one that has everything was never ready while the store was silent. Cause, found by reading: each try of the store (0.8 s and a pause) began the search and its transfer anew. Also says why a detour ends.

--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -16,6 +16,7 @@
 
 use slog::info;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
@@ -39,25 +40,26 @@
     /// for [`crate::replica::Pace::copy_wait`] reads the store as well, and takes
     /// what comes first.
     ///
-    /// While the store has not answered, all who may have a copy are asked, too.
+    /// While the store has not answered, all who may have a copy are asked, too. One
+    /// search goes on through all tries of the store: a copy that takes longer on a thin
+    /// link than a try and its pause would never be whole if each began it anew.
     pub(super) async fn begin(&mut self) -> Result<(), End> {
         let search = self.search().run();
         tokio::pin!(search);
-        let feeders = tokio::select! {
-            feeders = self.feeders() => feeders,
-            report = &mut search => return self.take_found(report).await,
-        };
-        match feeders {
-            Ok(feeders) => self.begin_from(feeders).await,
-            Err(End::Failed(error)) => {
-                self.fail(&error).await?;
-                let pause = self.backoff.next_delay().min(SLOW_RETRY);
-                match time::timeout(pause, search).await {
-                    Ok(report) => self.take_found(report).await,
-                    Err(_) => Ok(()),
-                }
+        loop {
+            let feeders = tokio::select! {
+                feeders = self.feeders() => feeders,
+                report = &mut search => return self.take_found(report).await,
+            };
+            match feeders {
+                Ok(feeders) => return self.begin_from(feeders).await,
+                Err(End::Failed(error)) => self.fail(&error).await?,
+                Err(abandoned) => return Err(abandoned),
+            }
+            let pause = self.backoff.next_delay().min(SLOW_RETRY);
+            if let Ok(report) = time::timeout(pause, &mut search).await {
+                return self.take_found(report).await;
             }
-            Err(abandoned) => Err(abandoned),
         }
     }
 
@@ -77,7 +79,7 @@
         info!(self.sources.log, "copy of another instance taken"; "revision" => report.revision,
             "age_ms" => report.age.map(|age| age.as_millis() as u64));
         // An upstream with an old copy is as good as any until the store answers.
-        self.presence = Presence::Away(time::Instant::now() + self.probe_pause);
+        self.presence = Presence::Away(Instant::now() + self.probe_pause);
         self.take(report).await
     }
 
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -58,6 +58,9 @@
 /// Why an upstream is left whose copy grows old while others do not.
 const NO_CONTACT: &str = "no contact with the store";
 
+/// Why one is left that is not above this instance.
+const DETOUR_OVER: &str = "the store answers here again";
+
 /// What happens while an upstream is followed.
 enum Event {
     Heard(crate::Result<Report>),
@@ -216,7 +219,11 @@
                     probe = Either::Left(future::pending());
                     is_probing = false;
                     if self.take_probe(probed).await? {
-                        return Ok((peer, NO_CONTACT.to_owned()));
+                        let reason = match self.detour_ends {
+                            Some(_) => DETOUR_OVER,
+                            None => NO_CONTACT,
+                        };
+                        return Ok((peer, reason.to_owned()));
                     }
                     if matches!(self.presence, Presence::Away(_))
                         && let Some(moved) = self.move_to_any(peer).await?
