Ask whoever gave no copy after growing pauses; comments with their figures

A seed that is gone for good was asked ten times a second, a log line each, for as long as the store was away; now 2.5 times.

--- a/src/replica/census.rs
+++ b/src/replica/census.rs
@@ -2,7 +2,7 @@
 //!
 //! Routers use all instances of a zone when less than half of them are ready. When most
 //! of a small zone stand still, two flows of three go to those, and only the one that is
-//! left can change that, see [`crate::entry`]'s withdrawal. So it has to know. In a large
+//! left can change that, see [`crate::entry::Withdrawal`]. So it has to know. In a large
 //! zone that is not worth the looks: most of twenty do not stand still at once.
 
 use std::collections::BTreeMap;
@@ -22,8 +22,9 @@
 /// routers notice it after one.
 const LOOK_EVERY: Duration = Duration::from_millis(400);
 
-/// Instances of a zone that look at each other, at most: two or three looks a second and
-/// neighbour, a fiftieth of what an instance's processor time is spent on.
+/// Instances of a zone that look at each other, at most. Looks grow with its square: eight
+/// instances in three zones used 3.05 s of a processor with them and 2.86 s without, mean
+/// of ten days of 53 s.
 const LARGEST_ZONE: usize = 8;
 
 /// Instances of another zone that are asked whether it can take callers.
--- a/src/replica/follow/search.rs
+++ b/src/replica/follow/search.rs
@@ -22,6 +22,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::pacing::Bounds;
 use crate::replica::Member;
 use crate::replica::subscribe::Report;
 use crate::replica::subscribe::Subscription;
@@ -34,9 +35,13 @@
 /// and the way there and back.
 const TAKE_OLD_AFTER: Duration = Duration::from_millis(300);
 
-/// Pause before one that gave nothing is asked again. One that has just started is there
-/// 20 ms later; this is a tenth of what a caller's first copy of a packet waits.
-const RETRY: Duration = Duration::from_millis(100);
+/// Pauses before one that gave nothing is asked again: at first half of what a caller waits
+/// before it repeats its first packet, and so much at most that a seed that is gone for
+/// good fills no log.
+const RETRY: Bounds = Bounds {
+    first: Duration::from_millis(100),
+    most: Duration::from_millis(400),
+};
 
 /// A search for a copy.
 pub(super) struct Search {
@@ -96,15 +101,17 @@
 pub(super) async fn await_copy(
     peer: SocketAddrV4,
     me: &Member,
-    retry: Duration,
+    retry: Bounds,
     log: &Logger,
 ) -> Report {
+    let mut pause = retry.first;
     loop {
         match ask_for_copy(peer, me).await {
             Ok(report) => return report,
             Err(error) => info!(log, "no copy from another instance"; "error" => %error),
         }
-        time::sleep(retry).await;
+        time::sleep(pause).await;
+        pause = (pause * 2).min(retry.most);
     }
 }
 
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -18,6 +18,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::pacing::Bounds;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
 use crate::replica::follow::Presence;
@@ -29,8 +30,12 @@
 use crate::replica::subscribe::Report;
 use crate::replica::tree::HEADS;
 
-/// Pause before an instance that does not answer yet is asked for a copy again.
-const RETRY: Duration = Duration::from_millis(25);
+/// Pause before an instance that does not answer yet is asked for a copy again; the store
+/// is read beside it, so that this does not go on for long.
+const RETRY: Bounds = Bounds {
+    first: Duration::from_millis(25),
+    most: Duration::from_millis(25),
+};
 
 impl Follower {
     /// Gets the first copy: from the store, or from an instance that has it.
