--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -425,8 +425,8 @@
         self.is_withdrawn.load(Ordering::Relaxed)
     }
 
-    /// The other instances, as far as their entries can be read; whoever follows the
-    /// store tells of those that cannot.
+    /// All registered instances, this one among them, as far as their entries can be
+    /// read; whoever follows the store tells of those that cannot.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.look(|copy| {
             let members = copy
