Count contact with the store up to the last contact, not up to now

Cause: contact was a flag that ends when silence is told, 2.8 s and later on instances that follow others; new flows had a clock of their own. Contact is a span now (flow::Contact), ended by the copy's last contact; a gap of over 1.7 s begins a new one. It holds because only answers of the store move its end.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -311,7 +311,8 @@
                 let upstream = upstream.as_ref().map(ToString::to_string);
                 info!(self.log, "source of changes"; "upstream" => upstream);
             }
-            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) | Update::Contact => {}
+            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) | Update::Contact(_) => {
+            }
         }
     }
 
@@ -449,6 +450,6 @@
         Belief::Unreadable(server) => Some(("server unreadable", server.to_string())),
         Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
         Belief::Neighbours(count) => Some(("instances in this zone", count.to_string())),
-        Belief::Contact(_) | Belief::Testimony(_) => None,
+        Belief::Contact(_) | Belief::Silence | Belief::Testimony(_) => None,
     }
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -28,8 +28,8 @@
                 reading.beliefs.extend(server.map(Belief::Gone));
             }
             Update::Refused(refusal) => reading.refuse(vocabulary, refusal),
-            Update::Contact => reading.beliefs.push(Belief::Contact(true)),
-            Update::Silent { .. } => reading.beliefs.push(Belief::Contact(false)),
+            Update::Contact(contact) => reading.beliefs.push(Belief::Contact(contact)),
+            Update::Silent { .. } => reading.beliefs.push(Belief::Silence),
             Update::Neighbours(count) => reading.beliefs.push(Belief::Neighbours(count)),
             Update::Source { .. } => {}
         }
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -9,6 +9,7 @@
 //! verdicts and notes come out.
 
 mod choice;
+mod contact;
 pub(crate) mod directory;
 mod evidence;
 mod experience;
@@ -20,6 +21,7 @@
 mod tag;
 mod usual;
 
+pub use contact::Contact;
 pub use directory::Directory;
 pub use directory::Presence;
 pub use directory::Server;
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -70,7 +70,7 @@
     let is_trusted = |record: &Record| is_open(record) && !record.evidence.is_suspected(now);
     least_loaded(directory, question, random, is_trusted)
         .or_else(|| least_loaded(directory, question, random, is_open))
-        .or_else(|| least_loaded(directory, question, random, |r| r.may_return(now)))
+        .or_else(|| least_loaded(directory, question, random, |r| directory.may_return(r)))
         .or_else(|| least_loaded(directory, question, random, |r| r.may_open()))
 }
 
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -12,6 +12,7 @@
 
 use tokio::time::Instant;
 
+use crate::flow::Contact;
 use crate::flow::Incarnation;
 use crate::flow::Serial;
 use crate::flow::Tag;
@@ -22,10 +23,6 @@
 use crate::flow::usual::Usual;
 use crate::id;
 
-/// How long an entry that lapsed during an outage of the store may take to come
-/// back after it: the users' bound of 2 s, and half a second for its delivery.
-const RETURN_BOUND: Duration = Duration::from_millis(2_500);
-
 /// Servers that an instance tells others of at most. More that fail at once are
 /// hardly worth telling apart.
 const MOST_TESTIMONY: usize = 64;
@@ -163,13 +160,6 @@
         let ready = self.server.presence == Presence::Ready;
         ready && self.missing_since.is_none() && !self.has_doubled_tag
     }
-
-    /// Whether its entry is missing but may still come back.
-    pub(crate) fn may_return(&self, now: Instant) -> bool {
-        let ready = self.server.presence == Presence::Ready && !self.has_doubled_tag;
-        let since = self.missing_since;
-        ready && since.is_some_and(|since| now < since + RETURN_BOUND)
-    }
 }
 
 /// The servers of one service.
@@ -209,8 +199,8 @@
     /// Whether entries tell their servers' lives; one that does not is somebody
     /// else's then, and counts as unreadable.
     tells_lives: bool,
-    /// Since when the store has answered without a break; `None` during one.
-    contact_since: Option<Instant>,
+    /// The last unbroken contact with the store; `None` while it is silent.
+    contact: Option<Contact>,
 }
 
 impl Directory {
@@ -226,7 +216,7 @@
             by_service: HashMap::new(),
             keep,
             tells_lives: false,
-            contact_since: None,
+            contact: None,
         }
     }
 
@@ -348,26 +338,43 @@
         }
     }
 
-    /// Notes that the store answers, or that it does not.
-    pub fn contact(&mut self, now: Instant, is_answering: bool) {
-        if is_answering {
-            self.contact_since.get_or_insert(now);
-        } else {
-            self.contact_since = None;
-        }
+    /// Notes that the store has answered.
+    pub fn note_contact(&mut self, contact: Contact) {
+        let joined = self.contact.map_or(contact, |before| before.join(contact));
+        self.contact = Some(joined);
+    }
+
+    /// Notes that the store does not answer.
+    pub fn note_silence(&mut self) {
+        self.contact = None;
+    }
+
+    /// Whether an entry that has been missing since then may still come back.
+    fn may_come_back(&self, missing: Instant) -> bool {
+        self.contact
+            .is_none_or(|contact| !contact.outlasts(missing))
+    }
+
+    /// Whether new flows may go to a server although its entry is missing.
+    ///
+    /// A store that goes away may drop the entries of servers that live, all of them.
+    /// Callers would be refused until it is back.
+    pub(crate) fn may_return(&self, record: &Record) -> bool {
+        let ready = record.server.presence == Presence::Ready && !record.has_doubled_tag;
+        let missing = record.missing_since;
+        ready && missing.is_some_and(|missing| self.may_come_back(missing))
     }
 
     /// Since when a server is proved to be gone; `None` while it may live.
     ///
     /// An entry also lapses while its server cannot reach the store. It counts
-    /// as gone when it stayed away for [`RETURN_BOUND`] of unbroken contact with
-    /// the store and nothing has come from the server since.
-    pub(crate) fn gone_since(&self, slot: Slot, now: Instant) -> Option<Instant> {
+    /// as gone when contact with the store has outlasted what a return may take and
+    /// nothing has come from the server since.
+    pub(crate) fn gone_since(&self, slot: Slot) -> Option<Instant> {
         let record = self.get(slot)?;
         let missing = record.missing_since?;
-        let proof_from = missing.max(self.contact_since?);
         let has_answered = record.evidence.last_alive() > Some(missing);
-        let is_proved = now >= proof_from + RETURN_BOUND && !has_answered;
+        let is_proved = !self.may_come_back(missing) && !has_answered;
         is_proved.then_some(missing)
     }
 
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -14,6 +14,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::flow::Contact;
 use crate::flow::Directory;
 use crate::flow::Drop;
 use crate::flow::Note;
@@ -78,8 +79,10 @@
     Neighbours(usize),
     /// What the instances of this zone counted against servers.
     Testimony(Vec<Testimony>),
-    /// Whether the store answers.
-    Contact(bool),
+    /// The store has answered.
+    Contact(Contact),
+    /// The store does not answer.
+    Silence,
 }
 
 /// What is to be done with a packet.
@@ -168,7 +171,8 @@
             Belief::Routes(routes) => return self.configure(routes),
             Belief::Testimony(told) => self.directory.hear(now, &told),
             Belief::Neighbours(count) => self.neighbours = count.max(1),
-            Belief::Contact(is_answering) => self.directory.contact(now, is_answering),
+            Belief::Contact(contact) => self.directory.note_contact(contact),
+            Belief::Silence => self.directory.note_silence(),
         }
         true
     }
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -24,6 +24,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::flow::Contact;
 use crate::id;
 use crate::platform::Change;
 use crate::platform::Entry;
@@ -61,8 +62,8 @@
     Change(Change),
     /// A key whose new value could not be read.
     Refused(Refusal),
-    /// Everything that the store knew has been told.
-    Contact,
+    /// Everything that the store knew by the end of this contact has been told.
+    Contact(Contact),
     /// The store does not answer; told once for each silence.
     Silent {
         /// The first error.
@@ -319,9 +320,14 @@
         self.lock().copy.horizon()
     }
 
+    /// The last contact with the store.
+    pub(crate) fn contact(&self) -> Option<Instant> {
+        self.lock().contact
+    }
+
     /// Time since the last contact with the store.
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        self.lock().contact.map(|at| now - at)
+        self.contact().map(|at| now - at)
     }
 
     /// Notes contact with the store, unless later contact is known.
@@ -330,6 +336,229 @@
         state.contact = state.contact.max(Some(at));
     }
 
+    /// Takes over a whole listing; gives back how it differs from what was known,
+    /// or `None` when more is known already.
+    ///
+    /// Subscribers are told the difference only: after the store has dropped its
+    /// history, whoever follows it lists it anew, and has missed little.
+    pub fn reset(&mut self, entries: &[Entry], revision: u64) -> Option<Vec<Change>> {
+        if self.horizon.is_some_and(|horizon| horizon > revision) {
+            return None;
+        }
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let is_missing = |(key, newest): &(&String, &Newest)| {
+            matches!(newest.change, Change::Put(_)) && !listed.contains(key.as_str())
+        };
+        let missing = self.keys.iter().filter(is_missing);
+        let deletions = missing.map(|(key, _)| Change::Delete {
+            key: key.clone(),
+            mod_revision: revision,
+        });
+        let mut changes: Vec<Change> = deletions.collect();
+        changes.extend(entries.iter().cloned().map(Change::Put));
+        // What a listing names exists, however old its last change is.
+        self.forgotten_revision = 0;
+        let fresh = self.apply(changes, revision);
+        self.forgotten_revision = revision;
+        Some(fresh)
+    }
+
+    /// Takes over changes; gives back those that were new.
+    pub fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Vec<Change> {
+        let mut fresh = Vec::new();
+        for change in changes {
+            if self.is_new(&change) {
+                self.take(change.clone());
+                fresh.push(change);
+            }
+        }
+        self.horizon = Some(self.horizon.unwrap_or_default().max(revision));
+        fresh
+    }
+
+    /// Whether a change is newer than what is known of its key. Of a key that is
+    /// not known, what is older than the deletions forgotten may be one of them.
+    fn is_new(&self, change: &Change) -> bool {
+        let revision = change.mod_revision();
+        match self.keys.get(key(change)) {
+            Some(newest) => revision > newest.change.mod_revision(),
+            None => revision > self.forgotten_revision,
+        }
+    }
+
+    fn take(&mut self, change: Change) {
+        self.last.0 += 1;
+        let place = self.last;
+        let key = key(&change).to_owned();
+        if matches!(change, Change::Delete { .. }) {
+            self.deleted.insert((place, change.mod_revision()));
+        }
+        self.order.insert(place, key.clone());
+        if let Some(before) = self.keys.insert(key, Newest { place, change }) {
+            self.order.remove(&before.place);
+            let revision = before.change.mod_revision();
+            self.deleted.remove(&(before.place, revision));
+        }
+        if self.deleted.len() > MOST_DELETED {
+            self.forget_deletion();
+        }
+    }
+
+    fn forget_deletion(&mut self) {
+        let Some((place, revision)) = self.deleted.pop_first() else {
+            return;
+        };
+        if let Some(key) = self.order.remove(&place) {
+            self.keys.remove(&key);
+        }
+        self.forgotten_place = place;
+        self.forgotten_revision = self.forgotten_revision.max(revision);
+    }
+
+    /// Whether who knows everything up to this revision needs a whole copy.
+    pub fn needs_whole(&self, known: Option<u64>) -> bool {
+        known.is_none_or(|known| known < self.forgotten_revision)
+    }
+
+    /// Whether who was told everything up to this place needs a whole copy.
+    pub fn has_forgotten(&self, place: Place) -> bool {
+        place < self.forgotten_place
+    }
+
+    /// The newest changes after a revision, and the place up to which they are all.
+    pub fn after_revision(&self, known: u64) -> (Vec<Change>, Place) {
+        let newer = self.keys.values().map(|newest| &newest.change);
+        let newer = newer.filter(|change| change.mod_revision() > known);
+        (newer.cloned().collect(), self.last)
+    }
+
+    /// The newest changes after a place, and the place up to which they are all.
+    pub fn after(&self, place: Place) -> (Vec<Change>, Place) {
+        let later = self.order.range(Place(place.0 + 1)..);
+        let later = later.filter_map(|(_, key)| self.keys.get(key));
+        let changes = later.map(|newest| newest.change.clone());
+        (changes.collect(), self.last)
+    }
+
+    /// Everything; `None` before the first listing.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        Some(Snapshot {
+            entries: self.entries().cloned().collect(),
+            revision: self.horizon?,
+            place: self.last,
+        })
+    }
+
+    /// A key's entry; `None` when it does not exist.
+    pub fn get(&self, key: &str) -> Option<&Entry> {
+        match &self.keys.get(key)?.change {
+            Change::Put(entry) => Some(entry),
+            Change::Delete { .. } => None,
+        }
+    }
+
+    /// All entries, in the order of their keys.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.keys
+            .values()
+            .filter_map(|newest| match &newest.change {
+                Change::Put(entry) => Some(entry),
+                Change::Delete { .. } => None,
+            })
+    }
+}
+
+pub(crate) fn key(change: &Change) -> &str {
+    match change {
+        Change::Put(entry) => &entry.key,
+        Change::Delete { key, .. } => key,
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    copy: Copy,
+    /// When the store is known to have had nothing newer.
+    contact: Option<Instant>,
+}
+
+/// A copy that the sources write and the subscribers read.
+///
+/// Its lock is a leaf: nothing else is locked while it is held.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    state: Mutex<State>,
+    /// Told after each change of the copy.
+    changed: watch::Sender<()>,
+    subscribers: AtomicUsize,
+    /// Instances with a copy that have asked here, the last ones last.
+    introduced: watch::Sender<Vec<SocketAddrV4>>,
+    /// Whether changes come from an instance that is not above this one.
+    is_detour: AtomicBool,
+    is_leaving: AtomicBool,
+    is_withdrawn: AtomicBool,
+    /// What subscribers are sent, packed once for all of them.
+    pub(crate) shelf: Shelf,
+    /// Bytes a second that go to all subscribers together.
+    pub(crate) pacer: Pacer,
+    /// What the instances of the zone tell each other of servers.
+    pub(crate) board: Board,
+}
+
+impl Shared {
+    pub(crate) fn new(pacer: Pacer) -> Self {
+        Self {
+            state: Mutex::default(),
+            changed: watch::Sender::new(()),
+            subscribers: AtomicUsize::new(0),
+            introduced: watch::Sender::default(),
+            is_detour: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
+            is_withdrawn: AtomicBool::new(false),
+            shelf: Shelf::default(),
+            pacer,
+            board: Board::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn watch(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    pub(crate) fn horizon(&self) -> Option<u64> {
+        self.lock().copy.horizon()
+    }
+
+    /// The last contact with the store.
+    pub(crate) fn contact(&self) -> Option<Instant> {
+        self.lock().contact
+    }
+
+    /// Time since the last contact with the store.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        self.contact().map(|at| now - at)
+    }
+
+    /// Notes contact with the store, unless later contact is known.
+    ///
+    /// Subscribers are told of it at once. Left to the heartbeat, which polls of a second
+    /// keep in step with, some instances never see a copy younger than a quarter of a
+    /// second, and each level of the tree adds as much. Smaller steps are left to
+    /// it: two that follow each other take the way between them for later contact.
+    pub(crate) fn touch(&self, at: Instant) {
+        let mut state = self.lock();
+        let before = state.contact;
+        state.contact = before.max(Some(at));
+        drop(state);
+        if before.is_none_or(|before| at > before + HEARTBEAT) {
+            self.changed.send_replace(());
+        }
+    }
+
     /// Takes over a whole listing; `false` when more is known already.
     pub(crate) fn reset(&self, entries: &[Entry], revision: u64) -> bool {
         let changes = self.lock().copy.reset(entries, revision);
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::error::Error;
+use crate::flow::Contact;
 use crate::pacing::Backoff;
 use crate::platform::Change;
 use crate::platform::Entry;
@@ -226,7 +227,8 @@
         if !self.is_old() {
             self.is_silent = false;
             self.presence = Presence::Unknown;
-            self.sender.send(Update::Contact).await?;
+            let contact = Contact::at(contact);
+            self.sender.send(Update::Contact(contact)).await?;
         }
         Ok(())
     }
@@ -248,15 +250,15 @@
         self.large = Large::default();
         self.reset(listing.entries, listing.refused, listing.revision)
             .await?;
-        self.answered(listing.asked).await
+        self.answered(Contact::at(listing.asked)).await
     }
 
-    async fn answered(&mut self, at: Instant) -> Result<(), End> {
+    async fn answered(&mut self, contact: Contact) -> Result<(), End> {
         self.is_silent = false;
         self.presence = Presence::Unknown;
         self.backoff.reset();
-        self.shared.touch(at);
-        Ok(self.sender.send(Update::Contact).await?)
+        self.shared.touch(contact.until);
+        Ok(self.sender.send(Update::Contact(contact)).await?)
     }
 
     async fn reset(
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -21,6 +21,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::flow::Contact;
 use crate::platform::poll::Batch;
 use crate::platform::poll::Page;
 use crate::platform::poll::Reader;
@@ -234,7 +235,10 @@
         self.had_changes = has_changes;
         // A poll that waited in vain was answered no earlier than its wait's end.
         let waited = if has_changes { Duration::ZERO } else { wait };
-        self.answered(asked + waited.min(asked.elapsed())).await?;
+        let until = asked + waited.min(asked.elapsed());
+        // Small values may have been polled again beside a large one.
+        let until = self.shared.contact().map_or(until, |at| at.max(until));
+        self.answered(Contact { from: asked, until }).await?;
         store::pause(&self.sources.pace, asked, wait, has_changes).await;
         Ok(())
     }
