Reset flows of a server at whose address another one has started

An address belongs to one machine, so that a new life's entry there is proof, unless the former server is heard or writes within 0.5 s, or both came in one list, or the new one's start is told as earlier. Weighed: no wait at all (an answer may be under way). Tests of each way to err in flow::gone; the first of them needs 6 s on the code before (gone_since knew lapsed entries only).

--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -23,6 +23,11 @@
 use crate::flow::usual::Usual;
 use crate::id;
 
+/// Time after another server's start at an address in which its former server may still
+/// show that it lives. Whoever answers has been heard within it: callers repeat after
+/// 0.2 s, and a living server's own entry is passed on in milliseconds.
+const SUCCESSION: Duration = Duration::from_millis(500);
+
 /// Servers that an instance tells others of at most. More that fail at once are
 /// hardly worth telling apart.
 const MOST_TESTIMONY: usize = 64;
@@ -102,6 +107,8 @@
     pub(crate) is_unreadable: bool,
     /// When its entry was found missing; `None` while it is listed.
     pub(crate) missing_since: Option<Instant>,
+    /// When another server has started at its address.
+    replaced_since: Option<Instant>,
     pub(crate) draining_since: Option<Instant>,
     pub(crate) cold_until: Instant,
     pub(crate) evidence: Evidence,
@@ -124,6 +131,7 @@
             life: slot.life,
             is_unreadable: false,
             missing_since: None,
+            replaced_since: None,
             draining_since: draining_since(&server, None, now),
             cold_until: now + server.cold_for,
             evidence: Evidence::default(),
@@ -158,7 +166,13 @@
     /// Whether new flows may go there as far as its last readable entry tells.
     pub(crate) fn may_open(&self) -> bool {
         let ready = self.server.presence == Presence::Ready;
-        ready && self.missing_since.is_none() && !self.has_doubled_tag
+        let is_listed = self.missing_since.is_none() && self.replaced_since.is_none();
+        ready && is_listed && !self.has_doubled_tag
+    }
+
+    /// Whether it has answered something since then.
+    fn has_answered_since(&self, at: Instant) -> bool {
+        self.evidence.last_alive() > Some(at)
     }
 }
 
@@ -220,11 +234,41 @@
         }
     }
 
-    /// Takes in a server's entry; `false` when it is of an earlier life.
+    /// Takes in a server's entry as it is written; `false` when it is of an earlier life.
     ///
     /// A write of a server's former life can reach the store after the first of
     /// its present one.
     pub fn put(&mut self, now: Instant, server: Server) -> bool {
+        let slot = self.by_id.get(&server.id);
+        let known = slot.and_then(|slot| self.get(*slot));
+        let is_new_life = known.is_none_or(|known| {
+            known.server.incarnation.is_some() && known.server.incarnation < server.incarnation
+        });
+        if is_new_life {
+            self.replace_at(now, &server);
+        }
+        self.take(now, server)
+    }
+
+    /// Notes that a server starts at an address at which others are known.
+    ///
+    /// An address belongs to one machine, so that a start there ends whoever was there
+    /// before. Load pattern: a quarter of a service's servers vanish and their
+    /// addresses are given away; callers with open flows there would wait for
+    /// their deadlines until the entries have lapsed and stayed away.
+    fn replace_at(&mut self, now: Instant, server: &Server) {
+        for record in self.records.iter_mut().flatten() {
+            let known = &record.server;
+            let is_former = known.address == server.address && known.id != server.id;
+            // Of those that tell their starts, one that is earlier was merely written late.
+            let is_later = server.incarnation >= known.incarnation;
+            if is_former && is_later {
+                record.replaced_since.get_or_insert(now);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Instant, server: Server) -> bool {
         self.tells_lives |= server.incarnation.is_some();
         let Some(slot) = self.by_id.get(&server.id).copied() else {
             self.insert(now, server);
@@ -255,6 +299,8 @@
             return;
         };
         record.missing_since = None;
+        // Whoever writes lives.
+        record.replaced_since = None;
         record.is_unreadable = false;
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
@@ -333,8 +379,9 @@
         for id in missing {
             self.remove(now, &id);
         }
+        // A list does not tell which of two servers at one address is the later one.
         for server in servers {
-            self.put(now, server);
+            self.take(now, server);
         }
     }
 
@@ -362,20 +409,24 @@
     pub(crate) fn may_return(&self, record: &Record) -> bool {
         let ready = record.server.presence == Presence::Ready && !record.has_doubled_tag;
         let missing = record.missing_since;
-        ready && missing.is_some_and(|missing| self.may_come_back(missing))
+        let is_replaced = record.replaced_since.is_some();
+        ready && !is_replaced && missing.is_some_and(|missing| self.may_come_back(missing))
     }
 
     /// Since when a server is proved to be gone; `None` while it may live.
     ///
     /// An entry also lapses while its server cannot reach the store. It counts
     /// as gone when contact with the store has outlasted what a return may take and
-    /// nothing has come from the server since.
-    pub(crate) fn gone_since(&self, slot: Slot) -> Option<Instant> {
+    /// nothing has come from the server since, or when another server has
+    /// its address and it has not been heard since.
+    pub(crate) fn gone_since(&self, slot: Slot, now: Instant) -> Option<Instant> {
         let record = self.get(slot)?;
-        let missing = record.missing_since?;
-        let has_answered = record.evidence.last_alive() > Some(missing);
-        let is_proved = !self.may_come_back(missing) && !has_answered;
-        is_proved.then_some(missing)
+        let is_over = |replaced: &Instant| now >= *replaced + SUCCESSION;
+        let replaced = record.replaced_since.filter(is_over);
+        let missing = record.missing_since;
+        let missing = missing.filter(|missing| !self.may_come_back(*missing));
+        let is_silent = |since: &Instant| !record.has_answered_since(*since);
+        replaced.or(missing).filter(is_silent)
     }
 
     /// Forgets servers that have been gone for longer than a flow lasts.
--- a/src/flow/plane/carry.rs
+++ b/src/flow/plane/carry.rs
@@ -151,7 +151,7 @@
     /// Whether the flow's server is gone, so that a reset lets the caller try
     /// again now and not at its deadline.
     pub(super) fn is_released(&mut self, now: Instant, segment: &Segment, slot: Slot) -> bool {
-        let Some(missing) = self.directory.gone_since(slot) else {
+        let Some(missing) = self.directory.gone_since(slot, now) else {
             return false;
         };
         let Some(record) = self.directory.get(slot) else {
--- a/tests/flow/gone.rs
+++ b/tests/flow/gone.rs
@@ -2,11 +2,21 @@
 
 use godwitreel::flow::Belief;
 use godwitreel::flow::Contact;
+use godwitreel::flow::Incarnation;
+use godwitreel::flow::Server;
 use godwitreel::flow::Verdict;
 use tokio::time::Instant;
 
 use crate::support::*;
 
+/// A server of another service at the address of server 1.
+fn successor(number: u8) -> Server {
+    Server {
+        address: server(1, "dispatch", LOCAL).address,
+        ..server(number, "ledger", LOCAL)
+    }
+}
+
 // A server has crashed and its entry has lapsed. The caller's requests on its
 // open flow go unanswered until the deadline; a reset lets it try elsewhere now.
 #[test]
@@ -206,3 +216,71 @@
     let verdict = plane.receive(now + ms(4_600), &caller.data(0, target.tag), b"");
     assert_eq!(verdict, Verdict::Reset);
 }
+
+// A machine vanishes and its address is given to a server of another service. The caller's
+// flow cannot go on; without the new start as proof it waits until the former entry has
+// lapsed and stayed away, 6 s, and most requests end at their deadline.
+#[test]
+fn a_flow_is_reset_when_another_server_starts_at_the_address() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now + ms(2_000), Belief::Server(successor(2)));
+    let early = plane.receive(now + ms(2_400), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(early), target, "it may still be heard");
+    let late = plane.receive(now + ms(2_600), &caller.data(0, target.tag), b"");
+    assert_eq!(late, Verdict::Reset);
+    let fresh = Caller::new(2, BOOKINGS);
+    let verdict = plane.receive(now + ms(2_600), &fresh.opening(0), b"");
+    assert_eq!(verdict, Verdict::Reset, "no new flows either");
+}
+
+// The entry of the other server was written late, or its address is wrong: the server that
+// it seems to follow goes on answering its callers, or writes its own entry again.
+#[test]
+fn a_server_that_shows_that_it_lives_is_replaced_by_nobody() {
+    let now = Instant::now();
+    for writes in [false, true] {
+        let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+        let caller = Caller::new(1, BOOKINGS);
+        let target = open(&mut plane, now, &caller);
+        plane.learn(now + ms(2_000), Belief::Server(successor(2)));
+        if writes {
+            let alive = Belief::Server(server(1, "dispatch", LOCAL));
+            plane.learn(now + ms(2_200), alive);
+        } else {
+            plane.receive(now + ms(2_200), &caller.acknowledge(50, target.tag), b"");
+        }
+        let verdict = plane.receive(now + ms(3_000), &caller.data(100, target.tag), b"");
+        assert_eq!(forwarded(verdict), target);
+    }
+}
+
+// An instance starts and reads both entries in one list, which does not tell whose start
+// is the later one: the living server may be either.
+#[test]
+fn a_list_with_two_servers_at_an_address_proves_nothing() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL), successor(2)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    let verdict = plane.receive(now + ms(9_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
+
+// A write of an earlier server at the address reaches the store after it has ended.
+#[test]
+fn an_earlier_start_replaces_nobody() {
+    let now = Instant::now();
+    let at = |born: u64, server: Server| Server {
+        incarnation: Some(Incarnation(born)),
+        ..server
+    };
+    let mut plane = plane(now, vec![at(20, server(1, "dispatch", LOCAL))]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.learn(now + ms(100), Belief::Server(at(10, successor(2))));
+    let verdict = plane.receive(now + ms(2_000), &caller.data(0, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+}
