Count beliefs that come at once in one log line

Single changes keep their line; beyond 20 a second they are counted, servers that become ready first, and told once a second. lines:: many_servers_at_once_are_counted: 600 servers in a second gave 600 lines on the code before (and no line of counts, for which the test waits).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 //! [`crate::flow`].
 
 mod adapter;
+mod beliefs;
 mod checks;
 mod http;
 mod journal;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -19,6 +19,8 @@
 use crate::entry::Server;
 use crate::entry::Settings;
 use crate::entry::Status;
+use crate::entry::beliefs::Beliefs;
+use crate::entry::beliefs::Told;
 use crate::entry::http;
 use crate::entry::http::Shared;
 use crate::entry::journal;
@@ -70,6 +72,7 @@
     plane: Plane,
     socket: Socket,
     journal: Journal,
+    beliefs: Beliefs,
     refusals: Refusals,
     shared: Arc<Shared>,
     log: Logger,
@@ -119,6 +122,7 @@
     let mut instance = Instance {
         plane: Plane::new(start::options(&settings)),
         journal: Journal::new(log.clone(), settings.log_lines_per_second, now),
+        beliefs: Beliefs::new(log.clone(), now),
         refusals: Refusals::new(now),
         socket,
         shared,
@@ -307,6 +311,7 @@
                 Timing::Answer(taken) => Metrics::observe(&metrics.answer, taken),
             }
         }
+        self.beliefs.flush(now);
         let (notes, omitted) = self.plane.take_notes();
         self.journal.omit(omitted);
         metrics.omitted_lines.inc_by(omitted);
@@ -359,10 +364,10 @@
     }
 
     fn believe(&mut self, now: Instant, belief: Belief) {
-        let told = describe(&belief);
+        let told = Told::of(&belief);
         let is_new = self.plane.learn(now, belief);
-        if let Some((what, subject)) = told {
-            info!(self.log, "belief"; "what" => what, "subject" => subject, "is_new" => is_new);
+        if let Some(told) = told {
+            self.beliefs.tell(now, told, is_new);
         }
     }
 
@@ -479,19 +484,3 @@
         flows: record.flows,
     }
 }
-
-/// What a belief is about, for the log.
-fn describe(belief: &Belief) -> Option<(&'static str, String)> {
-    match belief {
-        Belief::Servers { listed, .. } => Some(("servers listed", listed.len().to_string())),
-        Belief::Server(server) => match server.presence {
-            Presence::Ready => Some(("server ready", server.id.to_string())),
-            Presence::Draining => Some(("server draining", server.id.to_string())),
-        },
-        Belief::Gone(server) => Some(("server gone", server.to_string())),
-        Belief::Unreadable(server) => Some(("server unreadable", server.to_string())),
-        Belief::Routes(routes) => Some(("configuration", routes.version.to_string())),
-        Belief::Neighbours(count) => Some(("instances in this zone", count.to_string())),
-        Belief::Contact(_) | Belief::Silence | Belief::Testimony(_) => None,
-    }
-}
