--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -37,8 +37,9 @@
     /// Pause in which changes gather, in milliseconds.
     #[serde(default = "default_gather_ms")]
     pub gather_ms: u64,
-    /// Longest time that an instance that starts waits for another one's copy
-    /// before it reads the store as well, in milliseconds.
+    /// Longest time that the first instance after the three heads of a zone waits for
+    /// another one's copy, when it starts, before it reads the store as well, in
+    /// milliseconds; each further one waits half as long more, 1.5 s at most.
     #[serde(default = "default_copy_wait_ms")]
     pub copy_wait_ms: u64,
 }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -79,4 +79,5 @@
 pub use store::Pace;
 pub use tree::bystanders;
 pub use tree::candidates;
+pub use tree::copy_wait;
 pub use tree::upstream;
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -146,7 +146,8 @@
         let newest = self.large.is_changing(asked);
         let pace = self.sources.pace;
         let short = pace.wait_for_others / 3;
-        let small_wait = self.wait();
+        // Whoever begins to follow meanwhile would find the copy too old.
+        let small_wait = self.wait().min(pace.wait_for_others);
         // What changes seldom is asked for seldom: three polls a third of a second long
         // made 2,400 calls a minute in a calm fleet of 24. All end before the next round.
         let wait = match (small_wait.is_zero(), newest) {
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::pacing::Bounds;
+use crate::replica::Member;
 use crate::replica::follow::End;
 use crate::replica::follow::Follower;
 use crate::replica::follow::Presence;
@@ -28,6 +29,7 @@
 use crate::replica::register;
 use crate::replica::store;
 use crate::replica::subscribe::Report;
+use crate::replica::tree;
 use crate::replica::tree::HEADS;
 
 /// Pause before an instance that does not answer yet is asked for a copy again; the store
@@ -37,13 +39,21 @@
     most: Duration::from_millis(25),
 };
 
+/// Where an instance that starts gets its first copy.
+struct Feeders {
+    /// Whom to ask; nobody when this instance is a head of its zone.
+    addresses: Vec<SocketAddrV4>,
+    /// How long to wait for them before the store is read as well.
+    wait: Duration,
+}
+
 impl Follower {
     /// Gets the first copy: from the store, or from an instance that has it.
     ///
     /// Machines that start together have their power back within 0.3 s of each
     /// other, so that those to be asked may not be there yet. Whoever waits in vain
-    /// for [`crate::replica::Pace::copy_wait`] reads the store as well, and takes
-    /// what comes first.
+    /// reads the store as well, and takes what comes first: one after the other, by
+    /// rank, from [`crate::replica::Pace::copy_wait`] on.
     ///
     /// While the store has not answered, all who may have a copy are asked, too. One
     /// search goes on through all tries of the store: a copy that takes longer on a thin
@@ -89,16 +99,16 @@
     }
 
     /// Gets the first copy while the store answers.
-    async fn begin_from(&mut self, feeders: Vec<SocketAddrV4>) -> Result<(), End> {
+    async fn begin_from(&mut self, feeders: Feeders) -> Result<(), End> {
         let reader = self.sources.reader.clone();
         let all = self.sources.keys.all;
-        if feeders.is_empty() {
+        if feeders.addresses.is_empty() {
             let listing = store::list(&reader, all).await?;
             return self.take_listing(listing).await;
         }
-        let copying = self.copy_from_first(&feeders);
+        let copying = self.copy_from_first(&feeders.addresses);
         let reading = async {
-            time::sleep(self.sources.pace.copy_wait).await;
+            time::sleep(feeders.wait).await;
             store::list(&reader, all).await
         };
         let first = tokio::select! {
@@ -111,10 +121,11 @@
         }
     }
 
-    /// Whom to ask for a copy; nobody when this instance is a head of its zone.
-    async fn feeders(&mut self) -> Result<Vec<SocketAddrV4>, End> {
+    /// Whom to ask for a copy, as the store's list of members says.
+    async fn feeders(&mut self) -> Result<Feeders, End> {
         let reader = self.sources.reader.clone();
-        let page = reader.page(register::PREFIX, None).await?;
+        let zone = register::zone_prefix(&self.sources.me.zone);
+        let page = reader.page(&zone, None).await?;
         for entry in &page.entries {
             self.enroll(&entry.key, &entry.value);
         }
@@ -124,7 +135,12 @@
         self.above = None;
         let above = self.above();
         let is_head = above.len() < HEADS;
-        Ok(if is_head { Vec::new() } else { above })
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        let (me, first) = (&self.sources.me, self.sources.pace.copy_wait);
+        Ok(Feeders {
+            addresses: if is_head { Vec::new() } else { above },
+            wait: tree::copy_wait(&me.instance, &me.zone, &members, first),
+        })
     }
 
     /// The copy of whichever gives one first. All are asked at once: a machine
--- a/src/replica/register.rs
+++ b/src/replica/register.rs
@@ -57,9 +57,17 @@
     pub(crate) log: Logger,
 }
 
+/// Where the members of a zone register.
+///
+/// Whoever starts needs to know its own zone's only: the list of three hundred has 80 KB,
+/// and as many times as much fills the store's link for a quarter of a second.
+pub(crate) fn zone_prefix(zone: &id::Zone) -> String {
+    format!("{PREFIX}{zone}/")
+}
+
 /// Where a member registers.
 pub(crate) fn key(member: &Member) -> String {
-    format!("{PREFIX}{}", member.instance)
+    format!("{}{}", zone_prefix(&member.zone), member.instance)
 }
 
 /// The member that an entry names; `None` for other keys.
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -40,8 +40,8 @@
     ///
     /// Without it, each change of any server costs a call.
     pub gather: Duration,
-    /// Longest time that an instance that starts waits for another one's copy
-    /// before it reads the store as well.
+    /// Longest time that the first instance after the heads of a zone waits for another
+    /// one's copy, when it starts, before it reads the store as well.
     pub copy_wait: Duration,
     /// Age of the last contact with the store at which an upstream is left.
     pub most_age: Duration,
--- a/src/replica/tree.rs
+++ b/src/replica/tree.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::hash::Hasher;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use siphasher::sip::SipHasher13;
 
@@ -58,6 +59,32 @@
     candidates
 }
 
+/// Share of the wait for a copy by which each instance waits longer than the one before
+/// it.
+const LONGER_BY_RANK: f64 = 0.5;
+
+/// Longest wait for a copy, when those that should have one are gone.
+const MOST_COPY_WAIT: Duration = Duration::from_millis(1_500);
+
+/// How long an instance that starts waits for another one's copy before it reads the
+/// store as well; `first` is the wait of the first after the heads.
+///
+/// Load pattern: three hundred instances start at once. If all read the store after the
+/// same wait, they fill its link for most of a second, and the heads, whose copies they
+/// wait for, wait with them.
+pub fn copy_wait(
+    me: &id::Instance,
+    zone: &id::Zone,
+    members: &[Member],
+    first: Duration,
+) -> Duration {
+    let ranked = ranked(zone, members);
+    let place = ranked.iter().position(|member| member.instance == *me);
+    let behind = place.unwrap_or_default().saturating_sub(HEADS);
+    let wait = first.mul_f64(1.0 + behind as f64 * LONGER_BY_RANK);
+    wait.min(MOST_COPY_WAIT.max(first))
+}
+
 /// Instances of the own zone to turn to outside the order of ranks; as many as may be
 /// refused by the store beside this one where it refuses a third.
 const NEIGHBOURS: usize = 8;
--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -5,5 +5,6 @@
 mod copy;
 mod parcels;
 mod rows;
+mod start;
 mod storm;
 mod support;
--- /dev/null
+++ b/tests/replication/start.rs
@@ -0,0 +1,156 @@
+//! A whole fleet that starts at once.
+
+use std::time::Duration;
+
+use godwitreel::replica::Bandwidth;
+use godwitreel::replica::Member;
+use godwitreel::replica::candidates;
+use godwitreel::replica::copy_wait;
+
+/// Instances of each of six zones.
+const IN_ZONE: usize = 59;
+const ZONES: usize = 6;
+/// What the store sends for a whole listing, and for a member.
+const LISTING: f64 = 700_000.0;
+const MEMBER: f64 = 280.0;
+/// What it sends in a millisecond.
+const PER_MS: f64 = 125_000.0;
+/// Wait of the first after the heads, in milliseconds.
+const FIRST: u64 = 60;
+/// Machines have their power back within this time of each other, in milliseconds.
+const APART: usize = 300;
+/// Time in which a head sends its copy to one of its zone, in milliseconds.
+const COPY_MS: u64 = 3;
+
+fn zone(number: usize) -> Vec<Member> {
+    let member = |place: usize| Member {
+        instance: format!("entry-{number}-{place}").parse().unwrap(),
+        zone: format!("zone-{number}").parse().unwrap(),
+        address: format!("10.{number}.0.{place}:9000").parse().unwrap(),
+        link_mbps: Bandwidth(if place < 3 { 200.0 } else { 20.0 }),
+    };
+    (0..IN_ZONE).map(member).collect()
+}
+
+/// One that starts, reads who the members are, waits and reads the store.
+struct Starter {
+    zone: usize,
+    is_head: bool,
+    start: u64,
+    wait: u64,
+    /// Bytes of the members' list, then of the listing, that are still to come.
+    members: f64,
+    listing: f64,
+    /// When the members were known.
+    known: Option<u64>,
+}
+
+impl Starter {
+    fn is_reading(&self, at: u64) -> bool {
+        let has_waited = self.known.is_some_and(|known| at >= known + self.wait);
+        at >= self.start && self.listing > 0.0 && (self.known.is_none() || has_waited)
+    }
+
+    fn read(&mut self, at: u64, bytes: f64) {
+        if self.known.is_some() {
+            self.listing -= bytes;
+            return;
+        }
+        self.members -= bytes;
+        if self.members <= 0.0 {
+            self.known = Some(at);
+        }
+    }
+}
+
+/// All instances, which read so many members and wait for a copy for so long.
+fn fleet(listed: usize, wait: impl Fn(&Member, &[Member]) -> u64) -> Vec<Starter> {
+    let mut fleet = Vec::new();
+    for number in 0..ZONES {
+        let members = zone(number);
+        for (place, member) in members.iter().enumerate() {
+            let above = candidates(&member.instance, &member.zone, &members);
+            let is_head = above.len() < 3;
+            fleet.push(Starter {
+                zone: number,
+                is_head,
+                start: ((number * IN_ZONE + place) * 7_919 % APART) as u64,
+                wait: if is_head { 0 } else { wait(member, &members) },
+                members: listed as f64 * MEMBER,
+                listing: LISTING,
+                known: None,
+            });
+        }
+    }
+    fleet
+}
+
+/// Lets the heads of a zone that have the listing send it to those that wait.
+fn send_copies(fleet: &mut [Starter], zone: usize, credit: &mut u64) {
+    let heads = fleet.iter().filter(|one| one.zone == zone && one.is_head);
+    *credit += heads.filter(|head| head.listing <= 0.0).count() as u64;
+    while *credit >= COPY_MS {
+        *credit -= COPY_MS;
+        let waits = |one: &&mut Starter| {
+            one.zone == zone && !one.is_head && one.known.is_some() && one.listing > 0.0
+        };
+        if let Some(one) = fleet.iter_mut().find(waits) {
+            one.listing = 0.0;
+        }
+    }
+}
+
+/// Time from its start to its copy, of the slowest, in milliseconds.
+fn slowest(mut fleet: Vec<Starter>) -> u64 {
+    let mut credits = [0_u64; ZONES];
+    let mut slowest = 0;
+    for at in 0..5_000 {
+        let reading = fleet.iter().filter(|one| one.is_reading(at)).count();
+        let share = PER_MS / reading.max(1) as f64;
+        for one in fleet.iter_mut().filter(|one| one.is_reading(at)) {
+            one.read(at, share);
+        }
+        for (zone, credit) in credits.iter_mut().enumerate() {
+            send_copies(&mut fleet, zone, credit);
+        }
+        let waiting = fleet.iter().filter(|one| one.listing > 0.0);
+        let longest = waiting.map(|one| (at + 1).saturating_sub(one.start)).max();
+        match longest {
+            Some(longest) => slowest = slowest.max(longest),
+            None => break,
+        }
+    }
+    slowest
+}
+
+// All 354 instances of six zones get their power back together. With one wait for all
+// they read the store at once, its link is full for a second, and the heads' listings
+// are among them: callers wait for as long. By rank, heads are done first.
+#[test]
+fn heads_are_not_held_up_by_those_that_wait_for_them() {
+    let first = Duration::from_millis(FIRST);
+    let by_rank = |member: &Member, members: &[Member]| {
+        let wait = copy_wait(&member.instance, &member.zone, members, first);
+        wait.as_millis() as u64
+    };
+    let all = IN_ZONE * ZONES;
+    let before = slowest(fleet(all, |_, _| FIRST));
+    let ranked = slowest(fleet(all, by_rank));
+    let own_zone = slowest(fleet(IN_ZONE, by_rank));
+    assert!(before > 500, "the load as it was: {before} ms");
+    assert!(ranked < 500, "by rank: {ranked} ms");
+    assert!(own_zone < 300, "with a list of the own zone: {own_zone} ms");
+}
+
+// The heads and all copies are gone: whoever starts reads the store after a bounded wait,
+// the last of a large zone, too.
+#[test]
+fn nobody_waits_for_long_where_all_are_gone() {
+    let first = Duration::from_millis(FIRST);
+    let members = zone(1);
+    let wait = |member: &Member| copy_wait(&member.instance, &member.zone, &members, first);
+    let waits: Vec<Duration> = members.iter().map(wait).collect();
+    let longest = waits.iter().max().copied().unwrap_or_default();
+    assert!(longest <= Duration::from_millis(1_500), "{longest:?}");
+    assert!(waits.iter().all(|wait| *wait >= first));
+}
