Count a repeat of another size as it is, and poll for a second at a time although nobody follows

Found by reading the diff: a caller that repeats a packet with more bytes made the queue's count of bytes too small, which would wrap when it goes out and refuse all data for good (flow::egress::a_repeat_of_another_size_is_counted_as_it_is failed with 142 in place of 1,284). Growing repeats stay within the bound, too. A head that nobody follows polled for 2.2 s at a time also on wide links: who joined found its copy too old, and polls with changes left gaps of 2.6 s in its contact, each of which begins the proof of a gone server anew.

--- a/src/flow/egress.rs
+++ b/src/flow/egress.rs
@@ -20,7 +20,7 @@
 use crate::flow::Segment;
 
 /// What a datagram takes on a link beside its bytes: the heads of UDP, IP and Ethernet.
-const HEADS: usize = 42;
+const OVERHEAD: usize = 42;
 
 /// Time on the link of what may go out at once. Links hold more than this, and a timer
 /// fires early enough for the next.
@@ -125,7 +125,7 @@
 
     /// Counts a datagram that goes out in any case.
     pub fn count(&mut self, now: Instant, bytes: usize) {
-        let time = (bytes + HEADS) as f64 / self.bytes_per_second;
+        let time = (bytes + OVERHEAD) as f64 / self.bytes_per_second;
         self.free = self.free.max(now) + Duration::from_secs_f64(time);
     }
 
@@ -135,13 +135,20 @@
     /// newer, so that it takes the place of the first. Only data is refused
     /// when too much waits, or uploads would shut new callers out.
     pub fn wait(&mut self, segment: &Segment, datagram: Datagram) -> Admission {
+        let size = datagram.bytes.len() + OVERHEAD;
         let data = (segment.len > 0).then_some((segment.pair, segment.seq));
         let known = data.and_then(|data| self.places.get(&data));
         if let Some(waiting) = known.and_then(|place| self.waiting.get_mut(place)) {
+            // Whoever repeats may have changed the size.
+            let earlier = waiting.datagram.bytes.len() + OVERHEAD;
+            let bytes = self.bytes - earlier + size;
+            if size > earlier && bytes > self.most_bytes {
+                return Admission::Refused;
+            }
+            self.bytes = bytes;
             waiting.datagram = datagram;
             return Admission::Replaces;
         }
-        let size = datagram.bytes.len() + HEADS;
         if data.is_some() && self.bytes + size > self.most_bytes {
             return Admission::Refused;
         }
@@ -191,7 +198,7 @@
             }
         }
         let length = waiting.datagram.bytes.len();
-        self.bytes -= length + HEADS;
+        self.bytes -= length + OVERHEAD;
         self.count(now, length);
         Some(waiting.datagram)
     }
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -453,10 +453,6 @@
         })
     }
 
-    pub(crate) fn subscribers(&self) -> usize {
-        self.subscribers.load(Ordering::Relaxed)
-    }
-
     /// Counts a subscriber in; says how many there are then.
     pub(crate) fn join(self: &Arc<Self>) -> usize {
         self.subscribers.fetch_add(1, Ordering::Relaxed) + 1
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -146,8 +146,7 @@
         let newest = self.large.is_changing(asked);
         let pace = self.sources.pace;
         let short = pace.wait_for_others / 3;
-        // Whoever begins to follow meanwhile would find the copy too old.
-        let small_wait = self.wait().min(pace.wait_for_others);
+        let small_wait = self.wait();
         // What changes seldom is asked for seldom: three polls a third of a second long
         // made 2,400 calls a minute in a calm fleet of 24. All end before the next round.
         let wait = match (small_wait.is_zero(), newest) {
@@ -261,14 +260,14 @@
     /// A poll that brought changes is known to be as fresh as its question only,
     /// so that the one after it is kept short: an upstream's age stays below
     /// [`crate::replica::Pace::most_age`] although polls without changes wait for
-    /// half as long.
+    /// half as long. That holds also while nobody subscribes: whoever begins to in the
+    /// middle of a longer poll would find the copy too old and leave again.
     fn wait(&self) -> Duration {
         let pace = self.sources.pace;
-        match (self.is_silent, self.shared.subscribers()) {
-            (true, _) => Duration::ZERO,
-            (false, 0) => pace.wait,
-            (false, _) if self.had_changes => pace.wait_for_others / 3,
-            (false, _) => pace.wait_for_others,
+        match self.is_silent {
+            true => Duration::ZERO,
+            false if self.had_changes => pace.wait_for_others / 3,
+            false => pace.wait_for_others,
         }
     }
 }
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -28,13 +28,13 @@
 /// Times of polling.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// Longest time that a poll waits for a change while nobody subscribes here.
+    /// Longest time that a poll of what changes seldom waits beside others.
     ///
     /// A connection that something in between has forgotten shows only by the
     /// missing answer, so this bounds how old the copy can become unnoticed.
     pub wait: Duration,
-    /// Longest time that a poll waits while somebody subscribes here; shorter,
-    /// since what subscribers need beside it adds up.
+    /// Longest time that a poll waits on which subscribers depend; shorter,
+    /// since what they need beside it adds up.
     pub wait_for_others: Duration,
     /// Pause after changes, in which further ones gather for the next poll.
     ///
--- a/tests/flow/egress.rs
+++ b/tests/flow/egress.rs
@@ -244,3 +244,34 @@
     }
     assert_eq!(egress.next_due(), None);
 }
+
+// A caller repeats a packet with more or fewer bytes than before. Counted as the first
+// one, what waits would seem to shrink below nothing, and the queue to be full for good.
+#[test]
+fn a_repeat_of_another_size_is_counted_as_it_is() {
+    let now = Instant::now();
+    let mut egress = Egress::new(THIN, now);
+    let segment = data(1, 0);
+    queue(&mut egress, &segment, 1, 100);
+    queue(&mut egress, &segment, 2, 1_242);
+    assert_eq!(egress.bytes(), 1_242 + 42);
+    queue(&mut egress, &segment, 3, 100);
+    assert_eq!(marks(&mut egress, now, 100), [3]);
+    assert_eq!(egress.bytes(), 0);
+}
+
+// Short packets fill what may wait, and their senders repeat them at full size: more than a
+// second's worth does not wait in that way either.
+#[test]
+fn repeats_that_grow_stay_within_the_bound() {
+    let now = Instant::now();
+    let mut egress = Egress::new(THIN, now);
+    for length in [50, 1_242] {
+        for port in 1..200 {
+            for number in 0..16 {
+                queue(&mut egress, &data(port, number), 1, length);
+            }
+        }
+    }
+    assert!(egress.bytes() as f64 <= THIN, "{} bytes", egress.bytes());
+}
