--- a/examples/policy/world.rs
+++ b/examples/policy/world.rs
@@ -3,6 +3,11 @@
 //! Nothing here decides anything: messages are carried with their one-way times,
 //! servers have slots and a queue, callers repeat and come back as CoAP asks.
 
+mod caller;
+mod event;
+mod plan;
+mod server;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
@@ -12,36 +17,37 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use godwitreel::action::Action;
-use godwitreel::document::Profile;
-use godwitreel::document::State;
 use godwitreel::engine::Engine;
 use godwitreel::engine::Settings;
 use godwitreel::event::Event;
 use godwitreel::id;
 use godwitreel::member::View;
 use godwitreel::peer::Body;
-use godwitreel::request::Answer;
-use godwitreel::request::Flow;
-use godwitreel::request::Id;
 use godwitreel::request::Kind;
-use godwitreel::request::Outcome;
-use godwitreel::request::Receipt;
-use godwitreel::request::Request;
-use godwitreel::request::Token;
-use godwitreel::request::Verdict;
 use godwitreel::server::Server;
 use godwitreel::snapshot::Service;
 use godwitreel::snapshot::Snapshot;
 use godwitreel::table::Row;
 use godwitreel::table::Table;
-use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use crate::measure::Measure;
+use crate::world::caller::Call;
+use crate::world::caller::Watcher;
+use crate::world::caller::number;
+use crate::world::event::Due;
+use crate::world::event::What;
+use crate::world::server::Job;
+use crate::world::server::new_server;
+
+pub(crate) use plan::Fault;
+pub(crate) use plan::Gossip;
+pub(crate) use plan::Health;
+pub(crate) use plan::Plan;
+pub(crate) use server::Model;
 
 const SLICES: u32 = 256;
 const TICK: Duration = Duration::from_millis(10);
@@ -49,116 +55,6 @@
 const CONFIRM_FOR: Duration = Duration::from_millis(1_500);
 const BEAT_EVERY: Duration = Duration::from_secs(1);
 const SAMPLE_EVERY: Duration = Duration::from_millis(50);
-const FIRST_REPEAT: Duration = Duration::from_secs(2);
-const MAX_REPEATS: u32 = 4;
-const FEED_WORK: f64 = 0.001;
-
-/// Something that goes wrong, or right again, at a time.
-pub(crate) type Fault = (f64, Arc<dyn Fn(&mut World) + Send + Sync>);
-
-/// How a server looks when it is not told what to look like.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Health {
-    Up,
-    Draining,
-    Silent,
-    Foreign,
-}
-
-/// What peers tell of their own counts.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Gossip {
-    Off,
-    /// Each second, heard after a lag; the first home tells counts times a factor.
-    On {
-        lag: f64,
-        lie: f64,
-    },
-}
-
-/// One run.
-#[derive(Clone)]
-pub(crate) struct Plan {
-    pub(crate) homes: usize,
-    pub(crate) zones: &'static [&'static str],
-    pub(crate) servers: usize,
-    pub(crate) slots: u32,
-    pub(crate) hop: f64,
-    pub(crate) caller_hop: f64,
-    pub(crate) profile: Profile,
-    /// Requests a second, by time.
-    pub(crate) rate: Arc<dyn Fn(f64) -> f64 + Send + Sync>,
-    /// Share of non-idempotent requests.
-    pub(crate) once: f64,
-    pub(crate) feeds: usize,
-    pub(crate) notify_every: f64,
-    /// Mean time of a request at a server.
-    pub(crate) service: f64,
-    pub(crate) length: f64,
-    /// When measuring begins.
-    pub(crate) from: f64,
-    pub(crate) gossip: Gossip,
-    pub(crate) backup: bool,
-    /// Requests in a server's queue at which it sheds load.
-    pub(crate) shed: usize,
-    /// Times that a refused or late caller comes back by itself.
-    pub(crate) comebacks: u32,
-    /// Whether a caller that comes back heeds the time it was told.
-    pub(crate) heeds: bool,
-    /// Whether servers drop requests whose deadline has passed.
-    pub(crate) honours_deadline: bool,
-    pub(crate) faults: Vec<Fault>,
-}
-
-struct Job {
-    home: usize,
-    attempt: id::Attempt,
-    number: u64,
-    deadline: f64,
-}
-
-/// A model of a backend server.
-pub(crate) struct Model {
-    pub(crate) up: bool,
-    pub(crate) health: Health,
-    /// Whether the address runs the listed service.
-    pub(crate) ours: bool,
-    pub(crate) slow: f64,
-    /// Share of its answers that get lost.
-    pub(crate) loss: f64,
-    /// When it started cold.
-    pub(crate) cold_since: Option<f64>,
-    life: u32,
-    busy: usize,
-    queue: std::collections::VecDeque<Job>,
-    feeds: HashMap<(usize, id::Attempt), u64>,
-}
-
-impl Model {
-    pub(crate) fn outstanding(&self) -> usize {
-        self.busy + self.queue.len()
-    }
-
-    pub(crate) fn feeds(&self) -> usize {
-        self.feeds.len()
-    }
-
-    /// Loses everything.
-    pub(crate) fn stop(&mut self) {
-        self.up = false;
-        self.health = Health::Silent;
-        self.life += 1;
-        self.busy = 0;
-        self.queue.clear();
-        self.feeds.clear();
-    }
-
-    pub(crate) fn start(&mut self, now: f64) {
-        self.up = true;
-        self.health = Health::Up;
-        self.cold_since = Some(now);
-    }
-}
 
 /// One entry instance.
 pub(crate) struct Home {
@@ -170,110 +66,6 @@
     loads: HashMap<usize, Vec<(u32, u32)>>,
 }
 
-/// A request as its caller sees it.
-struct Call {
-    caller: u64,
-    kind: Kind,
-    /// When the caller first wanted it.
-    wanted: f64,
-    runs: u32,
-    done: bool,
-    told: bool,
-    refused: bool,
-    repeats: u32,
-    comebacks: u32,
-}
-
-struct Watcher {
-    seen: f64,
-    gap: f64,
-    open: bool,
-}
-
-enum What {
-    Arrival,
-    ToHome {
-        home: usize,
-        number: u64,
-        hops: u32,
-    },
-    Peer {
-        to: usize,
-        from: usize,
-        body: Body,
-    },
-    ToServer {
-        server: usize,
-        job: Job,
-    },
-    Done {
-        server: usize,
-        life: u32,
-        job: Job,
-    },
-    FromServer {
-        home: usize,
-        server: usize,
-        attempt: id::Attempt,
-        answer: Answer,
-    },
-    Notify {
-        server: usize,
-        life: u32,
-        home: usize,
-        attempt: id::Attempt,
-    },
-    Receipt {
-        home: usize,
-        flow: Flow,
-        message: u16,
-    },
-    Repeat(u64),
-    Return {
-        caller: u64,
-        kind: Kind,
-        wanted: f64,
-        comebacks: u32,
-    },
-    Tick,
-    Probe,
-    Beat(usize),
-    Loads {
-        from: usize,
-        loads: Vec<(u32, u32)>,
-    },
-    Sample,
-    Fault(usize),
-}
-
-struct Due {
-    at: f64,
-    order: u64,
-    what: What,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at
-            .total_cmp(&other.at)
-            .then(self.order.cmp(&other.order))
-    }
-}
-
 /// Everything of one run.
 pub(crate) struct World {
     plan: Plan,
@@ -506,82 +298,6 @@
         }
     }
 
-    fn arrival(&mut self) {
-        let rate = (self.plan.rate)(self.now).max(0.001);
-        let wait = -self.rng.random::<f64>().max(1e-12).ln() / rate;
-        self.after(wait, What::Arrival);
-        let once = self.rng.random::<f64>() < self.plan.once;
-        let kind = if once { Kind::Once } else { Kind::Idempotent };
-        let caller = 1_000_000 + self.rng.random_range(0..5_000);
-        self.call(caller, kind, self.now, 0);
-    }
-
-    fn call(&mut self, caller: u64, kind: Kind, wanted: f64, comebacks: u32) {
-        self.next += 1;
-        let number = self.next;
-        let call = Call {
-            caller,
-            kind,
-            wanted,
-            runs: 0,
-            done: false,
-            told: false,
-            refused: false,
-            repeats: 0,
-            comebacks,
-        };
-        self.calls.insert(number, call);
-        self.send(number);
-        self.after(FIRST_REPEAT.as_secs_f64(), What::Repeat(number));
-    }
-
-    /// The fabric hands the datagram to any instance, dead ones included until
-    /// they are noticed.
-    fn send(&mut self, number: u64) {
-        let mut home = self.rng.random_range(0..self.homes.len());
-        if self.noticed == Some(home) {
-            home = (home + 1) % self.homes.len();
-        }
-        let wait = self.plan.caller_hop;
-        self.after(
-            wait,
-            What::ToHome {
-                home,
-                number,
-                hops: 0,
-            },
-        );
-    }
-
-    fn repeat(&mut self, number: u64) {
-        let Some(call) = self.calls.get_mut(&number) else {
-            return;
-        };
-        if call.done || call.told || call.repeats >= MAX_REPEATS {
-            return;
-        }
-        call.repeats += 1;
-        let wait = FIRST_REPEAT.as_secs_f64() * 2f64.powi(call.repeats as i32);
-        self.send(number);
-        self.after(wait, What::Repeat(number));
-    }
-
-    fn request(&self, number: u64) -> Option<Request> {
-        let call = self.calls.get(&number)?;
-        Some(Request {
-            flow: Flow {
-                service: service(),
-                caller: endpoint(12, call.caller),
-            },
-            id: Id(number.into()),
-            token: Token(number.into()),
-            kind: call.kind,
-            confirmable: true,
-            part: godwitreel::request::Part::default(),
-            datagram: Bytes::copy_from_slice(&number.to_be_bytes()),
-        })
-    }
-
     fn reach_home(&mut self, home: usize, number: u64, hops: u32) {
         if let Some(request) = self.request(number) {
             self.feed(home, Event::Request { request, hops });
@@ -687,206 +403,6 @@
         }
     }
 
-    fn answered(&mut self, number: u64, outcome: Outcome) {
-        let Some(call) = self.calls.get_mut(&number) else {
-            return;
-        };
-        if call.done {
-            return;
-        }
-        call.done = true;
-        call.refused = matches!(outcome, Outcome::NotRun { .. });
-        let (caller, kind, wanted, comebacks) =
-            (call.caller, call.kind, call.wanted, call.comebacks);
-        let now = self.now + self.plan.caller_hop;
-        let count = wanted >= self.plan.from;
-        match outcome {
-            Outcome::Answered(_) => {
-                if kind == Kind::Open {
-                    let watcher = Watcher {
-                        seen: now,
-                        gap: 0.0,
-                        open: true,
-                    };
-                    self.watchers.insert(number, watcher);
-                } else if count {
-                    self.measure.answered(now - wanted, kind.runs_once());
-                }
-            }
-            Outcome::NotRun { retry_after } => {
-                let again = kind == Kind::Open || comebacks < self.plan.comebacks;
-                if again {
-                    let jitter = 0.5 + self.rng.random::<f64>();
-                    let told = f64::from(retry_after) * jitter;
-                    let wait = if self.plan.heeds { told } else { 0.1 * jitter };
-                    let what = What::Return {
-                        caller,
-                        kind,
-                        wanted,
-                        comebacks: comebacks + 1,
-                    };
-                    self.after(wait, what);
-                } else if count {
-                    self.measure.refused += 1;
-                }
-                if count {
-                    self.measure.refusals += 1;
-                }
-            }
-            Outcome::Unknown if count => {
-                self.measure.unknown += u64::from(kind.runs_once());
-                self.measure.late += u64::from(!kind.runs_once());
-            }
-            Outcome::Unknown => {}
-        }
-    }
-
-    fn notified(&mut self, number: u64, datagram: Option<Bytes>) {
-        let now = self.now;
-        if let Some(watcher) = self.watchers.get_mut(&number) {
-            watcher.gap = watcher.gap.max(now - watcher.seen);
-            watcher.seen = now;
-            if datagram.is_none() {
-                watcher.open = false;
-                self.measure.feeds_ended += 1;
-            }
-        }
-    }
-
-    fn receipt(&mut self, home: usize, flow: Flow, message: u16) {
-        let event = Event::Receipt {
-            flow,
-            message,
-            receipt: Receipt::Acknowledged,
-            hops: 0,
-            datagram: Bytes::new(),
-        };
-        self.feed(home, event);
-    }
-
-    fn reply(&mut self, server: usize, home: usize, attempt: id::Attempt, answer: Answer) {
-        if self.rng.random::<f64>() < self.models[server].loss {
-            return;
-        }
-        let wait = self.hop(home, server_zone(&self.plan, server));
-        self.after(
-            wait,
-            What::FromServer {
-                home,
-                server,
-                attempt,
-                answer,
-            },
-        );
-    }
-
-    fn reach_server(&mut self, server: usize, job: Job) {
-        let open = self.calls.get(&job.number).map(|call| call.kind) == Some(Kind::Open);
-        let model = &mut self.models[server];
-        if !model.up {
-            return;
-        }
-        if !model.ours {
-            self.measure.misdirected += 1;
-            let answer = plain(Verdict::NotFound, false);
-            self.reply(server, job.home, job.attempt, answer);
-            return;
-        }
-        if model.health == Health::Draining {
-            self.reply(
-                server,
-                job.home,
-                job.attempt,
-                plain(Verdict::Refused, false),
-            );
-            return;
-        }
-        if open {
-            let (home, attempt, life) = (job.home, job.attempt, model.life);
-            model.feeds.insert((home, attempt), job.number);
-            self.reply(server, home, attempt, plain(Verdict::Handled, true));
-            let wait = FEED_WORK + self.plan.notify_every * self.rng.random::<f64>();
-            self.after(
-                wait,
-                What::Notify {
-                    server,
-                    life,
-                    home,
-                    attempt,
-                },
-            );
-            return;
-        }
-        if model.queue.len() >= self.plan.shed {
-            self.reply(
-                server,
-                job.home,
-                job.attempt,
-                plain(Verdict::Refused, false),
-            );
-            return;
-        }
-        model.queue.push_back(job);
-        self.work(server);
-    }
-
-    fn work(&mut self, server: usize) {
-        while self.models[server].busy < self.plan.slots as usize {
-            let Some(job) = self.models[server].queue.pop_front() else {
-                return;
-            };
-            if self.plan.honours_deadline && self.now > job.deadline {
-                continue;
-            }
-            if let Some(call) = self.calls.get_mut(&job.number) {
-                call.runs += 1;
-            }
-            let draw = -self.rng.random::<f64>().max(1e-12).ln();
-            let model = &mut self.models[server];
-            model.busy += 1;
-            let cold = model.cold_since.map_or(1.0, |since| {
-                const COLD: f64 = 4.0;
-                const WARM_UP: f64 = 5.0;
-                1.0 + COLD * (-(self.now - since) / WARM_UP).exp()
-            });
-            let time = self.plan.service * draw * model.slow * cold;
-            let life = model.life;
-            self.after(time, What::Done { server, life, job });
-        }
-    }
-
-    fn done(&mut self, server: usize, life: u32, job: Job) {
-        if self.models[server].life != life {
-            return;
-        }
-        self.models[server].busy -= 1;
-        self.reply(
-            server,
-            job.home,
-            job.attempt,
-            plain(Verdict::Handled, false),
-        );
-        self.work(server);
-    }
-
-    fn notify(&mut self, server: usize, life: u32, home: usize, attempt: id::Attempt) {
-        let model = &self.models[server];
-        if model.life != life || !model.feeds.contains_key(&(home, attempt)) {
-            return;
-        }
-        self.reply(server, home, attempt, plain(Verdict::Handled, true));
-        let wait = self.plan.notify_every;
-        self.after(
-            wait,
-            What::Notify {
-                server,
-                life,
-                home,
-                attempt,
-            },
-        );
-    }
-
     fn probe(&mut self) {
         let now = self.instant();
         for home in self.homes.iter().filter(|home| home.alive) {
@@ -1004,20 +520,6 @@
     }
 }
 
-fn number(datagram: &[u8]) -> u64 {
-    datagram.try_into().map_or(0, u64::from_be_bytes)
-}
-
-fn plain(verdict: Verdict, feed: bool) -> Answer {
-    Answer {
-        verdict,
-        feed,
-        more: false,
-        retry_after: None,
-        datagram: Bytes::from_static(b"answer"),
-    }
-}
-
 fn new_home(plan: &Plan, home: usize, seed: u64) -> Home {
     let zone = home % plan.zones.len();
     let holder = id::Holder {
@@ -1058,18 +560,3 @@
         loads: HashMap::new(),
     }
 }
-
-fn new_server(plan: &Plan, server: usize) -> Server {
-    let name = format!("d{server:02}");
-    let listed = godwitreel::document::Server {
-        service: service(),
-        zone: plan.zones[server_zone(plan, server)]
-            .parse()
-            .expect("a name"),
-        address: endpoint(11, server as u64),
-        health: endpoint(13, server as u64),
-        slots: plan.slots,
-        state: State::Up,
-    };
-    Server::new(name.parse().expect("a name"), &listed)
-}
