Addresses of a test's programs come from a host of the test's own

Cause: a daemon of it ended at once with "bind: Address already in use". Ruled out: the range that the system gives ports from (32768 and up, ours lies below), the same number given twice (a counter).

Each process now has a loopback host of its own, held by a guard port, and gives ports in turn without a probe.

--- a/examples/demo/deployment.rs
+++ b/examples/demo/deployment.rs
@@ -1,7 +1,6 @@
 //! Stand-ins and entry instances, started together.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -13,6 +12,7 @@
 use godwitreel::status::Status;
 use serde_json::Value;
 use serde_json::json;
+use standin::address;
 use standin::caller;
 use standin::fabric;
 use standin::platform;
@@ -70,7 +70,6 @@
     servers: BTreeMap<String, Backend>,
     pub(crate) instances: Vec<Instance>,
     client: reqwest::Client,
-    given: BTreeSet<SocketAddr>,
 }
 
 /// What the backend servers counted.
@@ -100,7 +99,6 @@
             servers: BTreeMap::new(),
             instances: Vec::new(),
             client: reqwest::Client::new(),
-            given: BTreeSet::new(),
         };
         deployment.change_profile(1, &json!({}));
         for (service, count) in SERVICES {
@@ -148,25 +146,12 @@
         self.platform.put(&key, listed.to_string());
     }
 
-    /// An address that is free for UDP and TCP right now. The system may name a port
-    /// again before its first receiver has bound it, so the given ones are kept.
-    fn free_address(&mut self) -> Result<SocketAddr, Failure> {
-        loop {
-            let udp = std::net::UdpSocket::bind(local()).map_err(Failure::at("socket"))?;
-            let address = udp.local_addr().map_err(Failure::at("socket"))?;
-            let free = std::net::TcpListener::bind(address).is_ok();
-            if free && self.given.insert(address) {
-                return Ok(address);
-            }
-        }
-    }
-
     async fn add_instance(&mut self, zone: &str) -> Result<(), Failure> {
         let name = format!("{zone}-1");
-        let status = self.free_address()?;
+        let status = address::free();
         let mut listeners = BTreeMap::new();
         for (service, _) in SERVICES {
-            listeners.insert(service, self.free_address()?);
+            listeners.insert(service, address::free());
         }
         let text = self.settings(&name, zone, status, &listeners)?;
         let settings = settings::Daemon::parse(Path::new("demo.jsonc"), &text)?;
@@ -192,7 +177,7 @@
         status: SocketAddr,
         listeners: &BTreeMap<&'static str, SocketAddr>,
     ) -> Result<String, Failure> {
-        let peer = self.free_address()?;
+        let peer = address::free();
         let platform = self.platform.address();
         let listeners = json!(listeners);
         Ok(format!(
--- a/examples/utils/fleet.rs
+++ b/examples/utils/fleet.rs
@@ -20,6 +20,7 @@
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
 use serde_json::json;
+use standin::address;
 use standin::platform;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
@@ -91,16 +92,6 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
-fn free_address() -> SocketAddr {
-    loop {
-        let udp = std::net::UdpSocket::bind(local()).expect("bind");
-        let address = udp.local_addr().expect("address");
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Answers every request at once: 2.05 with the acknowledgement. Feeds stay open
 /// and silent.
 async fn serve(socket: UdpSocket) {
@@ -142,7 +133,7 @@
             client: reqwest::Client::new(),
         };
         fleet.change_profile(1);
-        let body = json!({"profile": "standard", "address": free_address().to_string()});
+        let body = json!({"profile": "standard", "address": address::free().to_string()});
         fleet
             .platform
             .put("godwitreel/services/dispatch", document(1, &body));
@@ -187,7 +178,7 @@
         self.started += 1;
         let zone = ZONES[self.started % ZONES.len()];
         let name = format!("{zone}-{}", self.started);
-        let (peer, status, listener) = (free_address(), free_address(), free_address());
+        let (peer, status, listener) = (address::free(), address::free(), address::free());
         let settings = json!({
             "instance": name,
             "zone": zone,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! nothing of godwitreel itself, so that an error in the balancer cannot hide
 //! behind the same error here.
 
+pub mod address;
 pub mod caller;
 mod etcd;
 pub mod fabric;
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -1,6 +1,5 @@
 //! The daemon program: its command line, its refusals and its logs.
 
-use std::collections::BTreeSet;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -11,7 +10,6 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Stdio;
-use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +21,7 @@
 use predicates::str::contains;
 use serde_json::Value;
 use serde_json::json;
+use standin::address;
 use tempfile::TempDir;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_godwitreeld");
@@ -39,29 +38,14 @@
     command
 }
 
-/// Addresses that were given to daemons of this process.
-static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
-
-fn free_address() -> SocketAddr {
-    loop {
-        let udp = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
-        let address = udp.local_addr().expect("address");
-        let free = TcpListener::bind(address).is_ok();
-        // The system may name a port again before its first receiver has bound it.
-        if free && GIVEN.lock().expect("no panic").insert(address) {
-            return address;
-        }
-    }
-}
-
 /// Settings that can run: the platform is away, which must not hold a start up.
 fn settings() -> Value {
     json!({
         "instance": "bole-1",
         "zone": "bole",
-        "peer": free_address().to_string(),
-        "status": free_address().to_string(),
-        "platform": [format!("http://{}", free_address())],
+        "peer": address::free().to_string(),
+        "status": address::free().to_string(),
+        "platform": [format!("http://{}", address::free())],
         "backend_bind": "127.0.0.1",
         "keys": ["000102030405060708090a0b0c0d0e0f"],
     })
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -1,13 +1,13 @@
 //! Several instances in one process, started and stopped.
 
 use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use godwitreel::daemon;
 use godwitreel::log;
 use godwitreel::settings;
+use standin::address;
 use standin::platform;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -15,16 +15,6 @@
 /// Longest wait for anything that must come about.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-fn free_address() -> SocketAddr {
-    loop {
-        let udp = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
-        let address = udp.local_addr().expect("address");
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn parse(text: &str) -> settings::Daemon {
     settings::Daemon::parse(Path::new("test.jsonc"), text).expect("settings")
 }
@@ -55,9 +45,9 @@
 async fn a_stopped_instance_leaves_nothing_behind() {
     let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into());
     let platform = platform.await.expect("platform");
-    let peer = free_address();
+    let peer = address::free();
     let status = loop {
-        let status = free_address();
+        let status = address::free();
         if status != peer {
             break status;
         }
--- a/tests/utils/mod.rs
+++ b/tests/utils/mod.rs
@@ -10,8 +10,6 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use godwitreel::id;
@@ -24,6 +22,7 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
+use standin::address;
 use standin::caller;
 use standin::fabric;
 use standin::platform;
@@ -109,29 +108,6 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
-/// An address that is free for UDP and TCP right now.
-///
-/// It lies below the range from which the system gives ports to everyone else:
-/// one from that range could be taken by any socket before the daemon binds it.
-fn free_address() -> SocketAddr {
-    const FIRST: u16 = 10_000;
-    const COUNT: u16 = 20_000;
-    static TAKEN: AtomicU16 = AtomicU16::new(0);
-    // Tests of other processes begin elsewhere.
-    let start = (std::process::id() % u32::from(COUNT)) as u16;
-    for _ in 0..COUNT {
-        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
-        let offset = (start.wrapping_mul(61) % COUNT + taken) % COUNT;
-        let address = (Ipv4Addr::LOCALHOST, FIRST + offset).into();
-        let udp = std::net::UdpSocket::bind(address);
-        let tcp = std::net::TcpListener::bind(address);
-        if udp.is_ok() && tcp.is_ok() {
-            return address;
-        }
-    }
-    panic!("no address is free");
-}
-
 impl Cluster {
     /// Starts everything and waits until every instance is ready and every slice
     /// has a home and a backup.
@@ -193,13 +169,13 @@
 
     /// Starts one more entry instance under a name of the test's choice.
     pub(crate) async fn add_as(&mut self, zone: &'static str, name: String) -> usize {
-        let peer = free_address();
-        let status = free_address();
+        let peer = address::free();
+        let status = address::free();
         let listeners: BTreeMap<&'static str, SocketAddr> = self
             .plan
             .services
             .iter()
-            .map(|(service, _)| (*service, free_address()))
+            .map(|(service, _)| (*service, address::free()))
             .collect();
         let mut instance = Instance {
             settings: self.dir.path().join(format!("{name}.jsonc")),
