No server is taken for silent while routers turn

An instance that starts among others, all at once or one after the other, got callers' opening packets just before the routers turned again and their next packets went to another instance. A server that is silent is still found by the caller's own copy, which comes to where its first packet came.

The gain is connections that servers hold for nobody and choices that no longer shun servers that are well.

--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -73,7 +73,7 @@
             let Some(key) = self.still_opening(&pair, due) else {
                 continue;
             };
-            if now > due + STALL || !self.has_heard_since_opening(key) {
+            if now > due + STALL || !self.is_silence_told(key) {
                 self.postpone(now, key);
                 continue;
             }
@@ -94,12 +94,14 @@
         is_due.then_some(key)
     }
 
-    /// Whether any open flow's packet has come since this one's opening packet.
+    /// Whether the caller's next packet, had its server answered, would have come here.
     ///
-    /// When routers turn to other instances, no caller's next packet comes here.
-    /// Without this, an instance that starts suspects all servers in its first
-    /// second and opens flows at several of them.
-    pub(super) fn has_heard_since_opening(&self, key: Key) -> bool {
+    /// When routers turn to other instances, no caller's next packet comes here, and
+    /// where instances join one after the other, others' flows do. Without this, an
+    /// instance that starts suspects all servers in its first second and opens flows
+    /// at several of them. Where a server is silent all the same, the caller's own
+    /// copy, which comes to where its first packet came, shows it.
+    pub(super) fn is_silence_told(&self, key: Key) -> bool {
         let Some(Flow {
             phase: Phase::Opening(opening),
             ..
@@ -107,7 +109,9 @@
         else {
             return false;
         };
-        self.heard.is_some_and(|heard| heard >= opening.sent)
+        let has_heard = self.heard.is_some_and(|heard| heard >= opening.sent);
+        let has_turned = self.turned.is_some_and(|turned| turned >= opening.sent);
+        has_heard && !has_turned
     }
 
     /// Gives the server the same time again: its silence proves nothing yet.
--- a/tests/flow/opening.rs
+++ b/tests/flow/opening.rs
@@ -1,6 +1,7 @@
 //! Handshakes: silent servers, copies, and a process that stood still.
 
 use godwitreel::flow::Note;
+use godwitreel::flow::Resend;
 use tokio::time::Instant;
 
 use crate::support::*;
@@ -55,6 +56,73 @@
     assert!(!notes.iter().any(is_blame), "{notes:?}");
 }
 
+// Instances come back one after the other, and each that joins turns the routers:
+// a caller's opening packet came here, its next one goes to another instance, which
+// carries it on. Other callers' flows, opened elsewhere, come here meanwhile. A
+// further server would get a flow that nobody uses, and the first one, which
+// answered, would get no new flows for a second.
+#[test]
+fn routers_that_turn_blame_no_server() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let gone = Caller::new(1, BOOKINGS);
+    let target = forwarded(plane.receive(now, &gone.opening(0), b"gone"));
+    let come = Caller::new(2, BOOKINGS);
+    let adopted = plane.receive(now + ms(10), &come.data(300, target.tag), b"");
+    assert_eq!(forwarded(adopted), target);
+    let mut resends = Vec::new();
+    while let Some(due) = plane.next_due().filter(|due| *due < now + ms(200)) {
+        resends.extend(plane.expire(due));
+    }
+    assert_eq!(resends, Vec::new());
+    let notes = plane.take_notes().0;
+    let is_blame = |note: &Note| matches!(note, Note::Suspected { .. });
+    assert!(!notes.iter().any(is_blame), "{notes:?}");
+}
+
+// The same, but the server is silent: the caller's own copy comes here, where its
+// first packet came, and shows it.
+#[test]
+fn a_copy_shows_silence_while_routers_turn() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let caller = Caller::new(1, BOOKINGS);
+    let silent = forwarded(plane.receive(now, &caller.opening(0), b""));
+    let come = Caller::new(2, BOOKINGS);
+    plane.receive(now + ms(10), &come.data(300, silent.tag), b"");
+    let copy = plane.receive(now + ms(200), &caller.opening(1), b"");
+    assert_ne!(forwarded(copy), silent);
+}
+
+// Routers have come to rest: a handshake that began after they last turned is
+// judged as before.
+#[test]
+fn silence_after_routers_have_turned_is_seen() {
+    let now = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(now, servers);
+    let first = Caller::new(1, BOOKINGS);
+    let silent = forwarded(plane.receive(now, &first.opening(0), b"first"));
+    let come = Caller::new(2, BOOKINGS);
+    plane.receive(now + ms(10), &come.data(300, silent.tag), b"");
+    plane.receive(now + ms(15), &come.data(400, silent.tag), b"");
+    let late = Caller::new(3, BOOKINGS);
+    let opened = now + ms(20);
+    let target = forwarded(plane.receive(opened, &late.opening(0), b"late"));
+    let other = Caller::new(4, BOOKINGS);
+    plane.receive(opened + ms(1), &other.opening(0), b"");
+    plane.receive(opened + ms(2), &come.data(500, silent.tag), b"");
+    let mut resends = Vec::new();
+    while let Some(due) = plane.next_due().filter(|due| *due <= opened + ms(60)) {
+        resends.extend(plane.expire(due));
+    }
+    let is_late = |resend: &Resend| resend.packet == b"late";
+    let resend = resends.iter().find(|resend| is_late(resend));
+    assert_ne!(resend.expect("a further server").target, target);
+}
+
 // The process is frozen for a second right after an opening packet. When it
 // thaws, the deadline is long past, but the answer may wait in the socket.
 #[test]
