--- a/standin/src/address.rs
+++ b/standin/src/address.rs
@@ -8,19 +8,19 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::RangeInclusive;
 use std::sync::LazyLock;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
-/// Port that marks a host as taken. It lies, like the given ones, below the range
-/// from which the system gives ports to sockets that name none.
+/// Port that marks a host as taken, below the range from which the system gives
+/// ports to sockets that name none.
 const GUARD_PORT: u16 = 9_999;
 
-/// First and last port that is given.
-const PORTS: std::ops::RangeInclusive<u16> = 10_000..=32_000;
+/// Ports that are given, below that range, too.
+const PORTS: RangeInclusive<u16> = 10_000..=32_000;
 
-/// Hosts that processes choose from, beside those that the tests of deployments
-/// name themselves.
+/// Hosts that processes choose from.
 const HOSTS: u32 = 60_000;
 
 static BLOCK: LazyLock<Block> = LazyLock::new(|| Block::claim(std::process::id()));
@@ -76,9 +76,9 @@
     BLOCK.address()
 }
 
-/// Host of a place, in 127.0.0.0/8 where no deployment of a test lies.
+/// Host of a place, in a part of 127.0.0.0/8 where no deployment of a test lies.
 fn host(place: u32) -> Ipv4Addr {
-    const FIRST: u8 = 250;
+    const PART: u8 = 250;
     let [_, _, high, low] = place.to_be_bytes();
-    Ipv4Addr::new(127, FIRST, high, low.max(1))
+    Ipv4Addr::new(127, PART, high, low.max(1))
 }
