Evacuated zones get no new flows

Ruled out: a slow copy; the entry was in every instance's copy and nobody read it.

Change: orders are read by their keys alone and kept by the decisions; a server of an evacuated zone is no candidate in any of the four rounds of the choice, copies of opening packets leave it, and with all zones evacuated the caller is told at once. Open flows stay. On thin links orders are polled beside a large configuration. Status, view, metric and log tell of it.

--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -35,10 +35,21 @@
     Server(Server),
     /// The configuration.
     Routes(Routes),
+    /// An order that a zone's servers are to get no new flows.
+    Evacuation(id::Zone),
     /// Nothing that concerns an entry instance.
     Other,
 }
 
+/// What an entry is about, as its key alone tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A backend server.
+    Server(id::Server),
+    /// The evacuation of a zone; the order is in force while the key exists.
+    Evacuation(id::Zone),
+}
+
 /// How the store's entries look.
 #[derive(Clone, Copy, Debug)]
 pub struct Vocabulary {
@@ -46,12 +57,14 @@
     pub prefix: &'static str,
     /// Prefix under it of small values that are urgent.
     pub small: &'static str,
+    /// Prefix under it of operators' orders, which are small and few.
+    pub orders: &'static str,
     /// Key under it of the large value.
     pub large: &'static str,
     /// Reads an entry.
     pub read: fn(&platform::Entry) -> Decoded<Entry>,
-    /// The server whose entry has this key; `None` for other keys.
-    pub server: fn(&str) -> Option<id::Server>,
+    /// What the entry of this key is about; `None` for what has no subject.
+    pub subject: fn(&str) -> Option<Subject>,
 }
 
 /// Everything that translates between the product and a platform.
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -102,6 +102,12 @@
             Belief::Gone(server) => Self::rare("server gone", server),
             Belief::Unreadable(server) => Self::rare("server unreadable", server),
             Belief::Routes(routes) => Self::rare("configuration", routes.version),
+            Belief::Evacuated(zone) => Self::rare("zone evacuated", zone),
+            Belief::Returned(zone) => Self::rare("zone taken back", zone),
+            Belief::Evacuation(zones) => {
+                let zones: Vec<&str> = zones.iter().map(|zone| zone.as_str()).collect();
+                Self::rare("zones evacuated", zones.join(" "))
+            }
             Belief::Neighbours(count) => Self::rare("instances in this zone", count),
             Belief::Contact(_) | Belief::Silence | Belief::Testimony(_) => return None,
         };
--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -75,10 +75,8 @@
         Note::Placed { .. } => "placed",
         Note::Reopened { server: None, .. } => "reopen_failed",
         Note::Reopened { .. } => "reopened",
-        Note::Refused {
-            has_route: true, ..
-        } => "refused_no_server",
-        Note::Refused { .. } => "refused_no_route",
+        Note::Evacuated { .. } => "left_evacuated",
+        Note::Refused { reason, .. } => reason.code(),
         Note::Released { .. } => "released",
         Note::Dropped { .. } => "dropped",
         Note::Suspected { .. } => "suspected",
@@ -107,6 +105,8 @@
         } => info!(log, "server silent in handshake"; "outcome" => kind, "flow" => %pair,
             "silent" => %silent, "server" => server.as_ref().map(ToString::to_string),
             "waited_ms" => waited_ms),
+        Note::Evacuated { pair, left } => info!(log, "server's zone evacuated in handshake";
+            "outcome" => kind, "flow" => %pair, "left" => %left),
         Note::Refused { pair, version, .. } => info!(log, "new flow refused";
             "outcome" => kind, "flow" => %pair, "version" => version),
         Note::Released {
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -40,6 +40,7 @@
     pub(crate) servers: Gauge,
     pub(crate) flows: Gauge,
     pub(crate) version: Gauge,
+    pub(crate) evacuated: Gauge,
     pub(crate) ready: Gauge,
     /// Bytes that wait for this instance's link.
     pub(crate) waiting: Gauge,
@@ -59,6 +60,7 @@
             servers: Gauge::default(),
             flows: Gauge::default(),
             version: Gauge::default(),
+            evacuated: Gauge::default(),
             ready: Gauge::default(),
             waiting: Gauge::default(),
         };
@@ -106,6 +108,11 @@
             "Version of the configuration in force",
             self.version.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones whose servers get no new flows, as operators ordered",
+            self.evacuated.clone(),
+        );
         registry.register(
             "ready",
             "1 if routers may send packets here",
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Adapter;
+use crate::entry::Evacuated;
 use crate::entry::Server;
 use crate::entry::Settings;
 use crate::entry::Status;
@@ -381,6 +382,8 @@
         metrics.ready.set(i64::from(is_ready));
         metrics.servers.set(self.plane.directory().listed() as i64);
         metrics.flows.set(self.plane.flows() as i64);
+        let evacuated = self.plane.directory().evacuation().zones().count();
+        metrics.evacuated.set(evacuated as i64);
         metrics.version.set(self.plane.version() as i64);
     }
 
@@ -460,10 +463,20 @@
             flows: self.plane.flows(),
             contact_age_ms: self.contact_age_ms(now),
             upstream: self.upstream.clone(),
+            evacuated: self.evacuated(now),
             servers,
             refused: self.refusals.list(),
         }
     }
+
+    fn evacuated(&self, now: Instant) -> Vec<Evacuated> {
+        let zones = self.plane.directory().evacuation().zones();
+        let evacuated = zones.map(|(zone, since)| Evacuated {
+            zone: zone.clone(),
+            known_ms: (now - since).as_millis() as u64,
+        });
+        evacuated.collect()
+    }
 }
 
 fn server(record: &Record, now: Instant) -> Server {
@@ -475,6 +488,7 @@
         incarnation: record.server.incarnation.map(|life| life.0),
         is_unreadable: record.is_unreadable,
         is_draining: record.server.presence == Presence::Draining,
+        is_evacuated: record.is_evacuated,
         missing_ms: record.missing_since.map(age),
         is_suspected: record.evidence.is_suspected(now),
         misses: record.evidence.misses(),
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -152,6 +152,7 @@
         keys: replica::Keys {
             all: adapter.vocabulary.prefix,
             small: adapter.vocabulary.small,
+            orders: adapter.vocabulary.orders,
             large: adapter.vocabulary.large,
         },
         pace: pace(settings),
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -23,6 +23,9 @@
     pub contact_age_ms: Option<u64>,
     /// The instance that changes come from; `None` for the store itself.
     pub upstream: Option<id::Instance>,
+    /// Zones whose servers get no new flows, as operators ordered.
+    #[serde(default)]
+    pub evacuated: Vec<Evacuated>,
     /// The backend servers, those that are gone included.
     pub servers: Vec<Server>,
     /// Entries of the store that cannot be read at present, 32 at most.
@@ -30,6 +33,15 @@
     pub refused: Vec<Refusal>,
 }
 
+/// A zone that operators have evacuated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evacuated {
+    /// The zone.
+    pub zone: id::Zone,
+    /// Time since the order is known here, in milliseconds.
+    pub known_ms: u64,
+}
+
 /// What an instance believes about a backend server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Server {
@@ -47,6 +59,9 @@
     pub is_unreadable: bool,
     /// Whether it said that it leaves.
     pub is_draining: bool,
+    /// Whether its zone is evacuated.
+    #[serde(default)]
+    pub is_evacuated: bool,
     /// Time since its entry went missing, in milliseconds.
     pub missing_ms: Option<u64>,
     /// Whether new flows avoid it, since callers heard nothing from it.
@@ -80,6 +95,9 @@
             Self {
                 is_draining: true, ..
             } => "draining",
+            Self {
+                is_evacuated: true, ..
+            } => "evacuated",
             Self {
                 is_suspected: true, ..
             } => "suspected",
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,6 +1,7 @@
 //! From the store's entries to beliefs of the decisions.
 
 use crate::entry::Entry;
+use crate::entry::Subject;
 use crate::entry::Vocabulary;
 use crate::flow::Belief;
 use crate::platform;
@@ -24,8 +25,8 @@
             } => reading.reset(vocabulary, &entries, refused),
             Update::Change(Change::Put(entry)) => reading.put(vocabulary, &entry),
             Update::Change(Change::Delete { key, .. }) => {
-                let server = (vocabulary.server)(&key);
-                reading.beliefs.extend(server.map(Belief::Gone));
+                let subject = (vocabulary.subject)(&key);
+                reading.beliefs.extend(subject.map(deleted));
             }
             Update::Refused(refusal) => reading.refuse(vocabulary, refusal),
             Update::Contact(contact) => reading.beliefs.push(Belief::Contact(contact)),
@@ -42,6 +43,7 @@
         match (vocabulary.read)(entry) {
             Ok(Entry::Server(server)) => self.beliefs.push(Belief::Server(server)),
             Ok(Entry::Routes(routes)) => self.beliefs.push(Belief::Routes(routes)),
+            Ok(Entry::Evacuation(zone)) => self.beliefs.push(Belief::Evacuated(zone)),
             Ok(Entry::Other) => {}
             Err(reason) => {
                 let key = entry.key.clone();
@@ -51,8 +53,8 @@
     }
 
     fn refuse(&mut self, vocabulary: &Vocabulary, refusal: Refusal) {
-        let server = (vocabulary.server)(&refusal.key);
-        self.beliefs.extend(server.map(Belief::Unreadable));
+        let subject = (vocabulary.subject)(&refusal.key);
+        self.beliefs.extend(subject.map(unreadable));
         self.refused.push(refusal);
     }
 
@@ -70,16 +72,37 @@
         }
         let mut listed = Vec::new();
         let mut unreadable = Vec::new();
+        let mut evacuated = Vec::new();
         let mut others = Vec::new();
         for belief in self.beliefs.drain(..) {
             match belief {
                 Belief::Server(server) => listed.push(server),
                 Belief::Unreadable(server) => unreadable.push(server),
+                Belief::Evacuated(zone) => evacuated.push(zone),
                 other => others.push(other),
             }
         }
         let servers = Belief::Servers { listed, unreadable };
         self.beliefs = others;
+        // No server must take new flows in between.
+        self.beliefs
+            .push(Belief::Evacuation(evacuated.into_iter().collect()));
         self.beliefs.push(servers);
     }
 }
+
+/// What follows from an entry that is gone.
+fn deleted(subject: Subject) -> Belief {
+    match subject {
+        Subject::Server(server) => Belief::Gone(server),
+        Subject::Evacuation(zone) => Belief::Returned(zone),
+    }
+}
+
+/// What follows from an entry whose value cannot be read.
+fn unreadable(subject: Subject) -> Belief {
+    match subject {
+        Subject::Server(server) => Belief::Unreadable(server),
+        Subject::Evacuation(zone) => Belief::Evacuated(zone),
+    }
+}
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -42,6 +42,18 @@
     pub(crate) candidates: usize,
 }
 
+/// Whether a service has servers that take new flows, but only in evacuated zones.
+pub(crate) fn is_evacuated(directory: &Directory, service: &id::Service) -> bool {
+    let Some(pool) = directory.of_service(service) else {
+        return false;
+    };
+    let servers = pool.home.iter().chain(&pool.away);
+    let records = servers.filter_map(|slot| directory.get(*slot));
+    records
+        .filter(|record| record.is_evacuated)
+        .any(|record| record.may_open() || directory.may_return(record))
+}
+
 /// What the choice depends on beside the directory.
 pub(crate) struct Question<'a> {
     pub(crate) service: &'a id::Service,
@@ -60,6 +72,7 @@
 /// never leaves a service without servers; servers whose entry has just lapsed
 /// only when none is listed, which is how a store looks that lost all leases
 /// in an outage; and servers whose entries somebody has overwritten last of all.
+/// Servers of evacuated zones are not used, whatever else there is.
 pub(crate) fn choose(
     directory: &Directory,
     question: &Question<'_>,
@@ -124,7 +137,7 @@
             let Some(record) = self.directory.get(*slot) else {
                 continue;
             };
-            if self.question.tried.contains(slot) || !is_candidate(record) {
+            if record.is_evacuated || self.question.tried.contains(slot) || !is_candidate(record) {
                 continue;
             }
             self.candidates += 1;
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::flow::Contact;
+use crate::flow::Evacuation;
 use crate::flow::Incarnation;
 use crate::flow::Serial;
 use crate::flow::Tag;
@@ -110,6 +111,8 @@
     /// When another server has started at its address.
     replaced_since: Option<Instant>,
     pub(crate) draining_since: Option<Instant>,
+    /// Whether its zone is evacuated.
+    pub(crate) is_evacuated: bool,
     pub(crate) cold_until: Instant,
     pub(crate) evidence: Evidence,
     pub(crate) experience: Experience,
@@ -133,6 +136,7 @@
             missing_since: None,
             replaced_since: None,
             draining_since: draining_since(&server, None, now),
+            is_evacuated: false,
             cold_until: now + server.cold_for,
             evidence: Evidence::default(),
             experience: Experience::default(),
@@ -215,6 +219,7 @@
     tells_lives: bool,
     /// The last unbroken contact with the store; `None` while it is silent.
     contact: Option<Contact>,
+    evacuation: Evacuation,
 }
 
 impl Directory {
@@ -231,6 +236,7 @@
             keep,
             tells_lives: false,
             contact: None,
+            evacuation: Evacuation::default(),
         }
     }
 
@@ -305,6 +311,7 @@
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
         record.server = server;
+        self.mark_evacuated(slot);
     }
 
     /// Begins a server's next life, which holds nothing of the one before.
@@ -327,6 +334,27 @@
         self.by_id.insert(server.id.clone(), slot);
         self.list(slot, &server);
         self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
+        self.mark_evacuated(slot);
+    }
+
+    /// Changes which zones are evacuated; `false` when that changes nothing.
+    pub(crate) fn evacuate(&mut self, change: impl FnOnce(&mut Evacuation) -> bool) -> bool {
+        let is_new = change(&mut self.evacuation);
+        for record in self.records.iter_mut().flatten() {
+            record.is_evacuated = self.evacuation.contains(&record.server.zone);
+        }
+        is_new
+    }
+
+    /// The evacuated zones.
+    pub fn evacuation(&self) -> &Evacuation {
+        &self.evacuation
+    }
+
+    fn mark_evacuated(&mut self, slot: Slot) {
+        if let Some(Some(record)) = self.records.get_mut(slot.index()) {
+            record.is_evacuated = self.evacuation.contains(&record.server.zone);
+        }
     }
 
     /// Takes in that a server's entry cannot be read.
@@ -353,6 +381,7 @@
         self.by_id.insert(server.id.clone(), slot);
         self.list(slot, &server);
         self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
+        self.mark_evacuated(slot);
     }
 
     /// Takes in that a server's entry is gone.
@@ -476,6 +505,11 @@
         }
     }
 
+    /// What the known servers last told of themselves, in no order.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.records().map(|record| &record.server)
+    }
+
     /// Servers listed at this moment.
     pub fn listed(&self) -> usize {
         let is_listed = |record: &&Record| record.missing_since.is_none();
--- a/src/flow/note.rs
+++ b/src/flow/note.rs
@@ -19,16 +19,20 @@
     NoWeight,
     /// Too much waits for this instance's own link.
     FullLink,
+    /// The copy of an opening packet whose server's zone has been evacuated
+    /// meanwhile, while no other server takes new flows.
+    Evacuated,
 }
 
 impl Drop {
     /// Every reason, in the order of the list.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::NoView,
         Self::UnknownTag,
         Self::ServerSide,
         Self::NoWeight,
         Self::FullLink,
+        Self::Evacuated,
     ];
 
     /// The reason as it stands in logs and metrics.
@@ -39,6 +43,7 @@
             Self::ServerSide => "server_side",
             Self::NoWeight => "no_weight",
             Self::FullLink => "full_link",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -49,6 +54,28 @@
     }
 }
 
+/// Why a new flow was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No route exists.
+    NoRoute,
+    /// No server takes new flows.
+    NoServer,
+    /// All servers that would take it are in evacuated zones.
+    Evacuated,
+}
+
+impl Refusal {
+    /// The reason as it stands in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::NoRoute => "refused_no_route",
+            Self::NoServer => "refused_no_server",
+            Self::Evacuated => "refused_evacuated",
+        }
+    }
+}
+
 /// How long something took, as seen from callers' packets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timing {
@@ -87,12 +114,20 @@
         /// How long the first was given, in milliseconds.
         waited_ms: u64,
     },
+    /// The opening packet went to a further server, since the first one's zone has
+    /// been evacuated meanwhile.
+    Evacuated {
+        /// The flow.
+        pair: Pair,
+        /// The server that had the packet first.
+        left: id::Server,
+    },
     /// A new flow was refused with a reset.
     Refused {
         /// The flow.
         pair: Pair,
-        /// Whether a route exists but no server takes new flows.
-        has_route: bool,
+        /// Why.
+        reason: Refusal,
         /// Version of the configuration.
         version: u64,
     },
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -6,6 +6,7 @@
 mod opening;
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::flow::Drop;
 use crate::flow::Note;
 use crate::flow::Pair;
+use crate::flow::Refusal;
 use crate::flow::RoundTrip;
 use crate::flow::Routes;
 use crate::flow::Segment;
@@ -75,6 +77,12 @@
     Gone(id::Server),
     /// A configuration.
     Routes(Routes),
+    /// Operators have evacuated a zone.
+    Evacuated(id::Zone),
+    /// Operators have taken a zone back.
+    Returned(id::Zone),
+    /// All zones that are evacuated.
+    Evacuation(BTreeSet<id::Zone>),
     /// Instances that share this zone's callers, this one included.
     Neighbours(usize),
     /// What the instances of this zone counted against servers.
@@ -169,6 +177,9 @@
             Belief::Unreadable(server) => self.directory.mark_unreadable(&server),
             Belief::Gone(server) => self.directory.remove(now, &server),
             Belief::Routes(routes) => return self.configure(routes),
+            Belief::Evacuated(zone) => return self.directory.evacuate(|e| e.begin(now, zone)),
+            Belief::Returned(zone) => return self.directory.evacuate(|e| e.end(&zone)),
+            Belief::Evacuation(all) => return self.directory.evacuate(|e| e.replace(now, all)),
             Belief::Testimony(told) => self.directory.hear(now, &told),
             Belief::Neighbours(count) => self.neighbours = count.max(1),
             Belief::Contact(contact) => self.directory.note_contact(contact),
@@ -271,7 +282,7 @@
         };
         let version = routes.version;
         let Some(route) = routes.by_address.get(&segment.pair.service) else {
-            return self.refuse(segment.pair, false, version);
+            return self.refuse(segment.pair, Refusal::NoRoute, version);
         };
         let Some(service) = route.service(&segment.pair).cloned() else {
             return Verdict::Drop(Drop::NoWeight);
@@ -282,15 +293,21 @@
             .or_else(|| self.choose(now, &service, &[]));
         match choice {
             Some(choice) => self.place(now, segment, packet, choice),
-            None if self.has_servers => self.refuse(segment.pair, true, version),
+            None if self.has_servers => {
+                let reason = match choice::is_evacuated(&self.directory, &service) {
+                    true => Refusal::Evacuated,
+                    false => Refusal::NoServer,
+                };
+                self.refuse(segment.pair, reason, version)
+            }
             None => Verdict::Drop(Drop::NoView),
         }
     }
 
-    fn refuse(&mut self, pair: Pair, has_route: bool, version: u64) -> Verdict {
+    fn refuse(&mut self, pair: Pair, reason: Refusal, version: u64) -> Verdict {
         self.note(Note::Refused {
             pair,
-            has_route,
+            reason,
             version,
         });
         Verdict::Reset
--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -10,6 +10,7 @@
 use crate::flow::Pair;
 use crate::flow::Plane;
 use crate::flow::Resend;
+use crate::flow::Target;
 use crate::flow::Verdict;
 use crate::flow::directory::Slot;
 use crate::flow::table::Flow;
@@ -41,10 +42,19 @@
         };
         flow.seen = now;
         let server = flow.server;
-        let is_silent = match &flow.phase {
-            Phase::Opening(opening) => now >= opening.sent + COPY_GAP,
-            Phase::Open | Phase::Closing => false,
+        let (is_opening, is_silent) = match &flow.phase {
+            Phase::Opening(opening) => (true, now >= opening.sent + COPY_GAP),
+            Phase::Open | Phase::Closing => (false, false),
         };
+        let record = self.directory.get(server);
+        if is_opening && record.is_some_and(|record| record.is_evacuated) {
+            return match self.leave_evacuated(now, key) {
+                Some(target) => Verdict::Forward(target),
+                // The server may have answered the first packet, so that a reset could
+                // break a flow that is open.
+                None => Verdict::Drop(Drop::Evacuated),
+            };
+        }
         if is_silent && let Some(resend) = self.reopen(now, key) {
             return Verdict::Forward(resend.target);
         }
@@ -151,19 +161,45 @@
             server: chosen.map(|record| record.server.id.clone()),
             waited_ms: (now - sent).as_millis() as u64,
         };
-        let target = chosen.map(|record| record.target());
         self.note(note);
-        let slot = choice?.slot;
+        let target = self.open_at(now, key, choice?.slot)?;
+        Some(Resend { packet, target })
+    }
+
+    /// Picks another server for an opening flow whose server's zone has been
+    /// evacuated since its first packet came. Nothing speaks against the server.
+    fn leave_evacuated(&mut self, now: Instant, key: Key) -> Option<Target> {
+        let flow = self.table.get(key)?;
+        let Phase::Opening(opening) = &flow.phase else {
+            return None;
+        };
+        let pair = flow.pair;
+        let tried = opening.tried.clone();
+        let left = &self.directory.get(flow.server)?.server;
+        let note = Note::Evacuated {
+            pair,
+            left: left.id.clone(),
+        };
+        let service = left.service.clone();
+        let choice = self.choose(now, &service, &tried)?;
+        self.note(note);
+        self.open_at(now, key, choice.slot)
+    }
+
+    /// Counts an opening flow at a further server, which has some time to answer.
+    fn open_at(&mut self, now: Instant, key: Key, slot: Slot) -> Option<Target> {
+        let target = self.directory.get(slot)?.target();
         self.move_flow(key, slot);
         let due = now + self.round_trip.wait();
         let flow = self.table.get_mut(key)?;
+        let pair = flow.pair;
         if let Phase::Opening(opening) = &mut flow.phase {
             opening.tried.push(slot);
             opening.sent = now;
             opening.due = due;
             self.due.push(Reverse((due, pair)));
         }
-        target.map(|target| Resend { packet, target })
+        Some(target)
     }
 
     /// Servers that a caller's earlier flows were opened at and that it has left.
--- a/src/render.rs
+++ b/src/render.rs
@@ -130,6 +130,11 @@
             .as_ref()
             .map_or("store".to_owned(), ToString::to_string),
     ]);
+    let mut evacuated = new(["evacuated zone", "known ms"]);
+    for order in &view.evacuated {
+        evacuated.add_row([order.zone.to_string(), order.known_ms.to_string()]);
+    }
+    let evacuated = (!view.evacuated.is_empty()).then(|| evacuated.to_string());
     let mut servers = new([
         "server",
         "service",
@@ -162,9 +167,14 @@
     }
     let refused = (!view.refused.is_empty()).then(|| refused.to_string());
     join(
-        [head.to_string(), servers.to_string()]
-            .into_iter()
-            .chain(refused),
+        [
+            Some(head.to_string()),
+            evacuated,
+            Some(servers.to_string()),
+            refused,
+        ]
+        .into_iter()
+        .flatten(),
     )
 }
 
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -89,8 +89,12 @@
 /// How small values are polled beside the large one.
 struct Again<'a> {
     reader: &'a Reader,
-    /// Longest wait of a poll while the large one waits, too.
+    /// Prefix of what changes seldom.
+    orders: &'static str,
+    /// Longest wait of a poll of the servers while the large one waits, too.
     wait: Duration,
+    /// The same of a poll of what changes seldom.
+    seldom: Duration,
     /// The same while the large one is on its way.
     short: Duration,
     /// When the poll of the large one ends if it waits in vain.
@@ -132,10 +136,10 @@
         self.end_poll(asked, wait, has_changes).await
     }
 
-    /// Polls servers and members beside the large value; what comes first counts
-    /// first.
+    /// Polls servers, orders and members beside the large value; what comes first
+    /// counts first.
     ///
-    /// The small ones are polled again for as long as the large one is on its way. On a
+    /// Servers and orders are polled again for as long as the large one is on its way. On a
     /// link of 1 Mbit/s that takes 7.5 s for a configuration of 4,250 routes; a server that
     /// drained meanwhile got new flows until it was over.
     async fn poll_apart(&mut self, horizon: u64) -> Outcome<()> {
@@ -157,22 +161,29 @@
         let (over, is_over) = watch::channel(false);
         let again = Again {
             reader: &reader,
+            orders: keys.orders,
             wait: small_wait,
+            seldom: wait,
             short: short.min(small_wait),
             ends: asked + wait,
             is_over,
         };
         let mut polls = FuturesUnordered::new();
         polls.push(again.poll(keys.small, horizon, Duration::ZERO).boxed());
+        polls.push(again.poll(keys.orders, horizon, Duration::ZERO).boxed());
         polls.push(poll_members(&reader, horizon, wait).boxed());
         polls.push(poll_large(&reader, keys.large, large_from, wait, newest).boxed());
         let mut round = Round::default();
+        // A poll that is never sent has reached nothing.
+        round
+            .reached
+            .extend([(keys.small, horizon), (keys.orders, horizon)]);
         while let Some(polled) = polls.next().await {
             let next = self.take_polled(polled, horizon, &mut round).await?;
             if round.is_large_over {
                 over.send_replace(true);
-            } else if let Some((after, pause)) = next {
-                polls.push(again.poll(keys.small, after, pause).boxed());
+            } else if let Some((prefix, after, pause)) = next {
+                polls.push(again.poll(prefix, after, pause).boxed());
             }
         }
         drop(polls);
@@ -184,14 +195,14 @@
         self.end_poll(asked, wait, round.has_changes).await
     }
 
-    /// Takes what one poll has brought; says from where, and after which pause, the
-    /// servers are polled again.
+    /// Takes what one poll has brought; says what is polled again, from where, and
+    /// after which pause.
     async fn take_polled(
         &mut self,
         polled: Polled,
         horizon: u64,
         round: &mut Round,
-    ) -> Outcome<Option<(u64, Duration)>> {
+    ) -> Outcome<Option<(&'static str, u64, Duration)>> {
         let Polled {
             key,
             known,
@@ -199,6 +210,7 @@
             batch,
         } = polled;
         let is_small = key == self.sources.keys.small;
+        let is_repeated = is_small || key == self.sources.keys.orders;
         let is_large = key == self.sources.keys.large;
         round.is_large_over |= is_large;
         let gather = self.sources.pace.gather;
@@ -213,7 +225,7 @@
                 }
                 round.failures.insert(key, error);
                 let after = round.reached.get(key).copied().unwrap_or(horizon);
-                return Ok(is_small.then_some((after, gather)));
+                return Ok(is_repeated.then_some((key, after, gather)));
             }
         };
         let revision = batch.revision;
@@ -231,7 +243,7 @@
             self.shared.touch(known);
         }
         let pause = if is_vain { Duration::ZERO } else { gather };
-        Ok(is_small.then_some((revision, pause)))
+        Ok(is_repeated.then_some((key, revision, pause)))
     }
 
     pub(super) async fn take_batch(&mut self, batch: Batch, revision: u64) -> Outcome<bool> {
@@ -309,15 +321,19 @@
             return Polled::unsent(prefix);
         }
         let asked = Instant::now();
-        let wait = self.wait_from(asked);
+        let wait = self.wait_from(asked, prefix);
         let batch = self.reader.poll(prefix, after, wait).await;
         Polled::new(prefix, asked, wait, batch)
     }
 
     /// No longer than the large one waits, so that the next round is not held up.
-    fn wait_from(&self, now: Instant) -> Duration {
+    fn wait_from(&self, now: Instant, prefix: &str) -> Duration {
         let left = self.ends.saturating_duration_since(now);
-        left.min(self.wait).max(self.short)
+        let longest = match prefix == self.orders {
+            true => self.seldom,
+            false => self.wait,
+        };
+        left.min(longest).max(self.short)
     }
 }
 
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -21,6 +21,8 @@
     pub all: &'static str,
     /// Prefix under it of small values that are urgent.
     pub small: &'static str,
+    /// Prefix under it of operators' orders, which are small and few.
+    pub orders: &'static str,
     /// Key under it of the large value.
     pub large: &'static str,
 }
--- /dev/null
+++ b/tests/flow/evacuation.rs
@@ -0,0 +1,253 @@
+//! Zones that operators evacuate.
+
+use std::collections::BTreeSet;
+
+use godwitreel::flow::Belief;
+use godwitreel::flow::Drop;
+use godwitreel::flow::Note;
+use godwitreel::flow::Plane;
+use godwitreel::flow::Refusal;
+use godwitreel::flow::Server;
+use godwitreel::flow::Verdict;
+use godwitreel::id;
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use crate::support::BOOKINGS;
+use crate::support::Caller;
+use crate::support::LOCAL;
+use crate::support::REMOTE;
+use crate::support::forwarded;
+use crate::support::ms;
+use crate::support::open;
+use crate::support::plane;
+use crate::support::server;
+
+fn zone(name: &str) -> id::Zone {
+    name.parse().unwrap()
+}
+
+fn evacuate(plane: &mut Plane, now: Instant, name: &str) -> bool {
+    plane.learn(now, Belief::Evacuated(zone(name)))
+}
+
+fn two_zones() -> Vec<Server> {
+    vec![
+        server(1, "dispatch", LOCAL),
+        server(2, "dispatch", LOCAL),
+        server(3, "dispatch", REMOTE),
+    ]
+}
+
+fn serials(plane: &mut Plane, now: Instant, ports: std::ops::Range<u16>) -> BTreeSet<u64> {
+    let open = |port| open(plane, now, &Caller::new(port, BOOKINGS)).serial.0;
+    ports.map(open).collect()
+}
+
+// Guards against new flows to an evacuated zone while another one has servers.
+#[test]
+fn an_evacuated_zone_gets_no_new_flows() {
+    let now = Instant::now();
+    let mut plane = plane(now, two_zones());
+    assert!(evacuate(&mut plane, now, LOCAL));
+    assert!(!evacuate(&mut plane, now, LOCAL), "known already");
+    assert_eq!(serials(&mut plane, now, 1..200), BTreeSet::from([3]));
+    assert!(plane.learn(now, Belief::Returned(zone(LOCAL))));
+    assert!(serials(&mut plane, now, 200..230).contains(&1));
+}
+
+// Guards against an evacuation that breaks open flows.
+#[test]
+fn open_flows_stay_in_an_evacuated_zone() {
+    let now = Instant::now();
+    let mut plane = plane(now, two_zones());
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    evacuate(&mut plane, now, LOCAL);
+    let data = caller.data(100, target.tag);
+    assert_eq!(forwarded(plane.receive(now + ms(50), &data, b"")), target);
+}
+
+// Guards against the copy of an opening packet that reaches the zone after the order.
+#[test]
+fn a_copy_leaves_an_evacuated_zone() {
+    let now = Instant::now();
+    let mut plane = plane(now, two_zones());
+    let caller = Caller::new(1, BOOKINGS);
+    let first = forwarded(plane.receive(now, &caller.opening(0), b"packet"));
+    assert_ne!(first.serial.0, 3);
+    evacuate(&mut plane, now, LOCAL);
+    let copy = plane.receive(now + ms(200), &caller.opening(1), b"packet");
+    assert_eq!(forwarded(copy).serial.0, 3);
+    let (notes, _) = plane.take_notes();
+    assert!(
+        notes
+            .iter()
+            .any(|note| matches!(note, Note::Evacuated { .. }))
+    );
+    let is_suspected = |note: &Note| matches!(note, Note::Suspected { .. });
+    assert!(!notes.iter().any(is_suspected), "{notes:?}");
+    let evacuated = plane.learn(now, Belief::Evacuated(zone(REMOTE)));
+    assert!(evacuated);
+    let copy = plane.receive(now + ms(600), &caller.opening(2), b"packet");
+    assert_eq!(copy, Verdict::Drop(Drop::Evacuated));
+}
+
+// Guards against further openings, after a silence, into an evacuated zone.
+#[test]
+fn a_silent_server_hands_nothing_to_an_evacuated_zone() {
+    let now = Instant::now();
+    let mut plane = plane(now, two_zones());
+    let other = Caller::new(9, BOOKINGS);
+    let opened = open(&mut plane, now, &other);
+    evacuate(&mut plane, now, LOCAL);
+    let caller = Caller::new(1, BOOKINGS);
+    plane.receive(now, &caller.opening(0), b"packet");
+    let data = other.data(100, opened.tag);
+    plane.receive(now + ms(1), &data, b"");
+    let due = plane.next_due().unwrap();
+    assert_eq!(plane.expire(due), Vec::new());
+}
+
+// Guards against callers that wait for a service whose zones are all evacuated.
+#[test]
+fn with_all_zones_evacuated_callers_are_told_at_once() {
+    let now = Instant::now();
+    let mut plane = plane(now, two_zones());
+    let all = BTreeSet::from([zone(LOCAL), zone(REMOTE)]);
+    assert!(plane.learn(now, Belief::Evacuation(all.clone())));
+    assert!(!plane.learn(now, Belief::Evacuation(all)), "known already");
+    let caller = Caller::new(1, BOOKINGS);
+    let verdict = plane.receive(now, &caller.opening(0), b"packet");
+    assert_eq!(verdict, Verdict::Reset);
+    let (notes, _) = plane.take_notes();
+    let is_told = |note: &Note| {
+        matches!(
+            note,
+            Note::Refused {
+                reason: Refusal::Evacuated,
+                ..
+            }
+        )
+    };
+    assert!(notes.iter().any(is_told), "{notes:?}");
+}
+
+// Guards against the last resorts: entries that have just lapsed, servers that are
+// silent, and entries that somebody has overwritten.
+#[test]
+fn no_last_resort_lies_in_an_evacuated_zone() {
+    let now = Instant::now();
+    let mut plane = plane(
+        now,
+        vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)],
+    );
+    evacuate(&mut plane, now, LOCAL);
+    plane.learn(now, Belief::Silence);
+    plane.learn(now, Belief::Gone("s-1".parse().unwrap()));
+    plane.learn(now, Belief::Unreadable("s-2".parse().unwrap()));
+    let caller = Caller::new(1, BOOKINGS);
+    let verdict = plane.receive(now, &caller.opening(0), b"packet");
+    assert_eq!(verdict, Verdict::Reset);
+}
+
+// Guards against servers that come, start anew or move while their zone is evacuated.
+#[test]
+fn servers_that_come_into_an_evacuated_zone_get_nothing() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(3, "dispatch", REMOTE)]);
+    evacuate(&mut plane, now, LOCAL);
+    plane.learn(now, Belief::Server(server(1, "dispatch", LOCAL)));
+    plane.learn(now, Belief::Server(server(4, "dispatch", REMOTE)));
+    plane.learn(now, Belief::Server(server(4, "dispatch", LOCAL)));
+    assert_eq!(serials(&mut plane, now, 1..100), BTreeSet::from([3]));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Begin(u8),
+    End(u8),
+    Listed(BTreeSet<u8>),
+    Open,
+    Copy,
+    Wait(u64),
+    Write(u8, u8),
+    Gone(u8),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..3u8).prop_map(Event::Begin),
+        (0..3u8).prop_map(Event::End),
+        proptest::collection::btree_set(0..3u8, 0..3).prop_map(Event::Listed),
+        Just(Event::Open),
+        Just(Event::Copy),
+        (1..300u64).prop_map(Event::Wait),
+        (1..7u8, 0..3u8).prop_map(|(server, zone)| Event::Write(server, zone)),
+        (1..7u8).prop_map(Event::Gone),
+    ]
+}
+
+const ZONES: [&str; 3] = [LOCAL, REMOTE, "ayat"];
+
+/// The zone of a server, as it was written last.
+fn zone_of(plane: &Plane, address: std::net::SocketAddrV4) -> String {
+    let mut servers = plane.directory().servers();
+    let server = servers.find(|server| server.address == address);
+    server.unwrap().zone.to_string()
+}
+
+proptest! {
+    // Guards against any order of events that opens a flow in an evacuated zone.
+    #[test]
+    fn no_opening_packet_reaches_an_evacuated_zone(events in proptest::collection::vec(event(), 1..60)) {
+        let mut now = Instant::now();
+        let servers = (1..7u8).map(|n| server(n, "dispatch", ZONES[usize::from(n % 3)]));
+        let mut plane = plane(now, servers.collect());
+        let mut evacuated = BTreeSet::new();
+        let mut port = 1;
+        for event in events {
+            let mut targets = Vec::new();
+            match event {
+                Event::Begin(number) => {
+                    plane.learn(now, Belief::Evacuated(zone(ZONES[usize::from(number)])));
+                    evacuated.insert(number);
+                }
+                Event::End(number) => {
+                    plane.learn(now, Belief::Returned(zone(ZONES[usize::from(number)])));
+                    evacuated.remove(&number);
+                }
+                Event::Listed(numbers) => {
+                    let zones = numbers.iter().map(|number| zone(ZONES[usize::from(*number)]));
+                    plane.learn(now, Belief::Evacuation(zones.collect()));
+                    evacuated = numbers;
+                }
+                Event::Open | Event::Copy => {
+                    let is_copy = matches!(event, Event::Copy);
+                    port += u16::from(!is_copy);
+                    let caller = Caller::new(port, BOOKINGS);
+                    let packet = caller.opening(u32::from(is_copy));
+                    if let Verdict::Forward(target) = plane.receive(now, &packet, b"packet") {
+                        targets.push(target);
+                    }
+                }
+                Event::Wait(time) => {
+                    now += ms(time);
+                    targets.extend(plane.expire(now).into_iter().map(|resend| resend.target));
+                }
+                Event::Write(number, zone) => {
+                    let zone = ZONES[usize::from(zone)];
+                    plane.learn(now, Belief::Server(server(number, "dispatch", zone)));
+                }
+                Event::Gone(number) => {
+                    plane.learn(now, Belief::Gone(format!("s-{number}").parse().unwrap()));
+                }
+            }
+            for target in targets {
+                let reached = zone_of(&plane, target.address);
+                let is_evacuated = evacuated.iter().any(|n| ZONES[usize::from(*n)] == reached);
+                prop_assert!(!is_evacuated, "{} in {}", target.address, reached);
+            }
+        }
+    }
+}
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod config;
 mod egress;
+mod evacuation;
 mod experience;
 mod forget;
 mod gone;
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -7,6 +7,7 @@
 use axum::Json;
 use axum::Router;
 use axum::routing::get;
+use godwitreel::entry::Evacuated;
 use godwitreel::entry::Server;
 use godwitreel::entry::Status;
 use godwitreel::poll::Refusal;
@@ -21,6 +22,7 @@
         zone: "bole".parse().unwrap(),
         incarnation: Some(1_766_000_000_000),
         is_unreadable: false,
+        is_evacuated: false,
         is_draining: false,
         missing_ms: None,
         is_suspected: false,
@@ -47,6 +49,10 @@
         missing_ms: Some(2_700),
         ..server("i-4")
     };
+    let evacuated = Server {
+        is_evacuated: true,
+        ..server("i-6")
+    };
     let unreadable = Server {
         is_unreadable: true,
         ..server("i-5")
@@ -59,7 +65,18 @@
         flows: 81,
         contact_age_ms: Some(230),
         upstream: Some("edge-bole-2".parse().unwrap()),
-        servers: vec![server("i-1"), draining, suspected, missing, unreadable],
+        evacuated: vec![Evacuated {
+            zone: "merkato".parse().unwrap(),
+            known_ms: 4_200,
+        }],
+        servers: vec![
+            server("i-1"),
+            draining,
+            suspected,
+            missing,
+            unreadable,
+            evacuated,
+        ],
         refused: vec![Refusal {
             key: "servers/i-9".to_owned(),
             reason: "missing field `addr`".to_owned(),
@@ -102,6 +119,11 @@
                 .and(shown("suspected"))
                 .and(shown("missing")),
         )
+        .stdout(
+            shown("evacuated zone")
+                .and(shown("merkato"))
+                .and(shown("4200")),
+        )
         .stdout(
             shown("unreadable")
                 .and(shown("servers/i-9"))
