Packets that come before the first copy wait for it

Cause: after a loss of all power routers send to instances that have no copy of the store yet; they dropped openings and packets of open flows, which callers repeat 0.2 to 1.6 s later. Change: a bounded backlog keeps them, no opening packet for longer than its caller's own copy takes, and hands them on with the first copy.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -40,8 +40,10 @@
 use crate::entry::view::Reading;
 use crate::entry::withdrawal::Withdrawal;
 use crate::error::Result;
+use crate::flow::Backlog;
 use crate::flow::Belief;
 use crate::flow::Drop;
+use crate::flow::Early;
 use crate::flow::Egress;
 use crate::flow::Plane;
 use crate::flow::Presence;
@@ -84,6 +86,8 @@
     /// When servers were last told of.
     told: Instant,
     stop: Option<Stop>,
+    /// Packets that came before the first copy.
+    backlog: Backlog,
     withdrawal: Withdrawal,
     reader: Reader,
     /// Told after the signal to stop, once the copy may go.
@@ -132,6 +136,7 @@
         replica,
         told: now,
         stop: None,
+        backlog: Backlog::default(),
         withdrawal: Withdrawal::default(),
         reader,
         kept,
@@ -224,10 +229,25 @@
                 return;
             }
         };
-        let verdict = self.plane.receive(now, &segment, packet);
+        if !self.plane.is_ready() && self.stop.is_none() {
+            self.shared.metrics.count_packet("kept");
+            self.backlog.keep(Early {
+                at: now,
+                segment,
+                packet: packet.to_vec(),
+            });
+            return;
+        }
+        self.handle(now, &segment, length);
+    }
+
+    /// Decides about the packet in the socket's buffer.
+    fn handle(&mut self, now: Instant, segment: &Segment, length: usize) {
+        let packet = self.socket.packet(length);
+        let verdict = self.plane.receive(now, segment, packet);
         let (outcome, sent) = match verdict {
-            Verdict::Forward(target) => self.forward(now, &segment, length, &target),
-            Verdict::Reset => ("reset", self.socket.reset(&segment)),
+            Verdict::Forward(target) => self.forward(now, segment, length, &target),
+            Verdict::Reset => ("reset", self.socket.reset(segment)),
             Verdict::Drop(reason) => {
                 self.shared.metrics.count_drop(reason.code());
                 ("dropped", Ok(()))
@@ -237,6 +257,24 @@
         self.count_send(sent);
     }
 
+    /// Handles what came before the first copy, once there is one.
+    fn handle_backlog(&mut self) {
+        if self.backlog.is_empty() || !self.plane.is_ready() {
+            return;
+        }
+        let now = Instant::now();
+        let waited = self.backlog.len();
+        let early: Vec<Early> = self.backlog.take(now).collect();
+        info!(self.log, "early packets"; "kept" => waited, "handled" => early.len());
+        for Early {
+            segment, packet, ..
+        } in early
+        {
+            let length = self.socket.load(&packet);
+            self.handle(now, &segment, length);
+        }
+    }
+
     fn forward(
         &mut self,
         now: Instant,
@@ -341,6 +379,7 @@
             self.believe(now, belief);
         }
         self.set_gauges();
+        self.handle_backlog();
     }
 
     /// Logs lost and regained contact.
@@ -391,6 +430,7 @@
         match signal {
             Asked::Stop if self.stop.is_none() => {
                 info!(self.log, "stopping"; "flows" => self.plane.flows());
+                self.backlog.clear();
                 self.stop = Some(Stop::new(Instant::now(), self.settings.grace()));
                 self.set_gauges();
                 self.replica.begin_leaving();
--- a/src/entry/socket.rs
+++ b/src/entry/socket.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Puts a packet back in the place of the one read last; its length.
+    pub(crate) fn load(&mut self, packet: &[u8]) -> usize {
+        self.buffer[ENVELOPE..ENVELOPE + packet.len()].copy_from_slice(packet);
+        packet.len()
+    }
+
     /// The packet read last.
     pub(crate) fn packet(&self, length: usize) -> &[u8] {
         &self.buffer[ENVELOPE..ENVELOPE + length]
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -8,6 +8,7 @@
 //! Nothing here does input or output: packets, beliefs and the time go in,
 //! verdicts and notes come out.
 
+mod backlog;
 mod choice;
 mod contact;
 pub(crate) mod directory;
@@ -23,6 +24,8 @@
 mod tag;
 mod usual;
 
+pub use backlog::Backlog;
+pub use backlog::Early;
 pub use contact::Contact;
 pub use directory::Directory;
 pub use directory::Presence;
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Decisions about packets: events and times in, verdicts out.
 
+mod backlog;
 mod choice;
 mod config;
 mod egress;
