Cold servers get no more new flows than they bear, all instances together

Cause: nothing held a cold server to what its service's configuration says it bears. A zone that is taken back cold, or just empty, looks best to every instance at once. Ruled out: weighing cold servers slower (COLD_RATE), which bounds nothing, since all instances see the same least load.

Change: each instance has a share of each cold server's rate, which follows from the list of members alone; the shares add up to the rate. Members go to the decisions by name in place of their count. A service without a limit is served as before. With all servers spent a caller's copy is awaited, which costs it none of its tries.

--- a/benches/plane.rs
+++ b/benches/plane.rs
@@ -50,6 +50,7 @@
 
 fn plane(now: Instant) -> Plane {
     let mut plane = Plane::new(Options {
+        instance: "entry-1".parse().expect("a name"),
         zone: "bole".parse().expect("a name"),
         spill: 2.5,
         flow_ttl: Duration::from_secs(3_600),
@@ -71,6 +72,7 @@
             version: 1,
             by_address: [(SERVICE, route)].into(),
             idle_timeout: Duration::from_secs(3_600),
+            warmups: Default::default(),
         }),
     );
     plane.learn(
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -108,7 +108,11 @@
                 let zones: Vec<&str> = zones.iter().map(|zone| zone.as_str()).collect();
                 Self::rare("zones evacuated", zones.join(" "))
             }
-            Belief::Neighbours(count) => Self::rare("instances in this zone", count),
+            Belief::Peers(peers) => Self {
+                what: "instances",
+                subject: peers.len().to_string(),
+                is_rare: false,
+            },
             Belief::Contact(_) | Belief::Silence | Belief::Testimony(_) => return None,
         };
         Some(told)
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -398,8 +398,7 @@
                 let upstream = upstream.as_ref().map(ToString::to_string);
                 info!(self.log, "source of changes"; "upstream" => upstream);
             }
-            Update::Change(_) | Update::Refused(_) | Update::Neighbours(_) | Update::Contact(_) => {
-            }
+            Update::Change(_) | Update::Refused(_) | Update::Members(_) | Update::Contact(_) => {}
         }
     }
 
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -74,6 +74,7 @@
 
 pub(crate) fn options(settings: &Settings) -> Options {
     Options {
+        instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         spill: settings.spill,
         flow_ttl: settings.flow_ttl(),
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -4,9 +4,11 @@
 use crate::entry::Subject;
 use crate::entry::Vocabulary;
 use crate::flow::Belief;
+use crate::flow::Peer;
 use crate::platform;
 use crate::platform::Change;
 use crate::platform::poll::Refusal;
+use crate::replica::Member;
 use crate::replica::Update;
 
 /// What an update of the copy says, and which entries could not be read.
@@ -31,7 +33,10 @@
             Update::Refused(refusal) => reading.refuse(vocabulary, refusal),
             Update::Contact(contact) => reading.beliefs.push(Belief::Contact(contact)),
             Update::Silent { .. } => reading.beliefs.push(Belief::Silence),
-            Update::Neighbours(count) => reading.beliefs.push(Belief::Neighbours(count)),
+            Update::Members(members) => {
+                let peers = members.into_iter().map(peer).collect();
+                reading.beliefs.push(Belief::Peers(peers));
+            }
             Update::Source { .. } => {}
         }
         reading
@@ -91,6 +96,13 @@
     }
 }
 
+fn peer(member: Member) -> Peer {
+    Peer {
+        instance: member.instance,
+        zone: member.zone,
+    }
+}
+
 /// What follows from an entry that is gone.
 fn deleted(subject: Subject) -> Belief {
     match subject {
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -23,6 +23,7 @@
 mod table;
 mod tag;
 mod usual;
+mod warmup;
 
 pub use backlog::Backlog;
 pub use backlog::Early;
@@ -56,3 +57,6 @@
 pub use tag::Incarnation;
 pub use tag::Serial;
 pub use tag::Tag;
+pub use warmup::Peer;
+pub use warmup::Warmup;
+pub use warmup::share;
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -54,6 +54,19 @@
         .any(|record| record.may_open() || directory.may_return(record))
 }
 
+/// Whether a service has servers that take new flows in a moment: they are cold and
+/// have had this instance's share.
+pub(crate) fn is_spent(directory: &Directory, service: &id::Service, now: Instant) -> bool {
+    let Some(pool) = directory.of_service(service) else {
+        return false;
+    };
+    let servers = pool.home.iter().chain(&pool.away);
+    let records = servers.filter_map(|slot| directory.get(*slot));
+    records
+        .filter(|record| !record.is_evacuated && record.is_spent(now))
+        .any(|record| record.may_open() || directory.may_return(record))
+}
+
 /// What the choice depends on beside the directory.
 pub(crate) struct Question<'a> {
     pub(crate) service: &'a id::Service,
@@ -72,7 +85,8 @@
 /// never leaves a service without servers; servers whose entry has just lapsed
 /// only when none is listed, which is how a store looks that lost all leases
 /// in an outage; and servers whose entries somebody has overwritten last of all.
-/// Servers of evacuated zones are not used, whatever else there is.
+/// Servers of evacuated zones are not used, whatever else there is, nor are cold ones
+/// beyond what they bear.
 pub(crate) fn choose(
     directory: &Directory,
     question: &Question<'_>,
@@ -137,7 +151,8 @@
             let Some(record) = self.directory.get(*slot) else {
                 continue;
             };
-            if record.is_evacuated || self.question.tried.contains(slot) || !is_candidate(record) {
+            let is_barred = record.is_evacuated || record.is_spent(self.question.now);
+            if is_barred || self.question.tried.contains(slot) || !is_candidate(record) {
                 continue;
             }
             self.candidates += 1;
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -15,13 +15,17 @@
 use crate::flow::Contact;
 use crate::flow::Evacuation;
 use crate::flow::Incarnation;
+use crate::flow::Peer;
 use crate::flow::Serial;
 use crate::flow::Tag;
 use crate::flow::Testimony;
+use crate::flow::Warmup;
 use crate::flow::choice;
 use crate::flow::evidence::Evidence;
 use crate::flow::experience::Experience;
 use crate::flow::usual::Usual;
+use crate::flow::warmup;
+use crate::flow::warmup::Share;
 use crate::id;
 
 /// Time after another server's start at an address in which its former server may still
@@ -114,6 +118,8 @@
     /// Whether its zone is evacuated.
     pub(crate) is_evacuated: bool,
     pub(crate) cold_until: Instant,
+    /// New flows that this instance may send it while it is cold.
+    pub(crate) share: Share,
     pub(crate) evidence: Evidence,
     pub(crate) experience: Experience,
     /// Requests of this instance that wait for the server's answer.
@@ -138,6 +144,7 @@
             draining_since: draining_since(&server, None, now),
             is_evacuated: false,
             cold_until: now + server.cold_for,
+            share: Share::default(),
             evidence: Evidence::default(),
             experience: Experience::default(),
             outstanding: 0,
@@ -162,6 +169,11 @@
         self.penalty = choice::penalty(self.experience.bad_share(now));
     }
 
+    /// Whether it is cold and has had this instance's share of new flows.
+    pub(crate) fn is_spent(&self, now: Instant) -> bool {
+        now < self.cold_until && !self.share.has_room(now)
+    }
+
     /// Whether new flows may go there.
     pub(crate) fn is_open(&self) -> bool {
         self.may_open() && !self.is_unreadable
@@ -220,14 +232,19 @@
     /// The last unbroken contact with the store; `None` while it is silent.
     contact: Option<Contact>,
     evacuation: Evacuation,
+    /// This instance.
+    me: id::Instance,
+    /// The instances that share the callers, this one included.
+    peers: Vec<Peer>,
+    /// What servers bear after their start, by service.
+    warmups: HashMap<id::Service, Warmup>,
 }
 
 impl Directory {
     /// An empty directory of an instance in this zone that knows past servers
     /// for this long.
-    pub fn new(home: id::Zone, keep: Duration) -> Self {
+    pub fn new(me: id::Instance, home: id::Zone, keep: Duration) -> Self {
         Self {
-            home,
             records: Vec::new(),
             free: Vec::new(),
             by_id: HashMap::new(),
@@ -237,6 +254,13 @@
             tells_lives: false,
             contact: None,
             evacuation: Evacuation::default(),
+            peers: vec![Peer {
+                instance: me.clone(),
+                zone: home.clone(),
+            }],
+            warmups: HashMap::new(),
+            me,
+            home,
         }
     }
 
@@ -311,7 +335,7 @@
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
         record.server = server;
-        self.mark_evacuated(slot);
+        self.prepare(slot);
     }
 
     /// Begins a server's next life, which holds nothing of the one before.
@@ -334,14 +358,25 @@
         self.by_id.insert(server.id.clone(), slot);
         self.list(slot, &server);
         self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
-        self.mark_evacuated(slot);
+        self.prepare(slot);
     }
 
     /// Changes which zones are evacuated; `false` when that changes nothing.
-    pub(crate) fn evacuate(&mut self, change: impl FnOnce(&mut Evacuation) -> bool) -> bool {
+    pub(crate) fn evacuate(
+        &mut self,
+        now: Instant,
+        change: impl FnOnce(&mut Evacuation) -> bool,
+    ) -> bool {
         let is_new = change(&mut self.evacuation);
         for record in self.records.iter_mut().flatten() {
-            record.is_evacuated = self.evacuation.contains(&record.server.zone);
+            let is_evacuated = self.evacuation.contains(&record.server.zone);
+            let is_back = record.is_evacuated && !is_evacuated;
+            record.is_evacuated = is_evacuated;
+            // Its entry may tell only later that it has become cold meanwhile.
+            let warmup = self.warmups.get(&record.server.service);
+            if let Some(warmup) = warmup.filter(|warmup| is_back && warmup.rate > 0.0) {
+                record.cold_until = record.cold_until.max(now + warmup.lasts);
+            }
         }
         is_new
     }
@@ -351,9 +386,42 @@
         &self.evacuation
     }
 
-    fn mark_evacuated(&mut self, slot: Slot) {
+    /// Takes over who shares the callers, this instance among them.
+    pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
+        self.peers = peers;
+        self.share_out();
+    }
+
+    /// Takes over what servers bear after their start.
+    pub(crate) fn set_warmups(&mut self, warmups: HashMap<id::Service, Warmup>) {
+        if self.warmups != warmups {
+            self.warmups = warmups;
+            self.share_out();
+        }
+    }
+
+    /// Counts a new flow at a server that may be cold.
+    pub(crate) fn take_share(&mut self, slot: Slot, now: Instant) {
+        if let Some(record) = self.get_mut(slot)
+            && now < record.cold_until
+        {
+            record.share.take(now);
+        }
+    }
+
+    fn share_out(&mut self) {
+        for record in self.records.iter_mut().flatten() {
+            let most = most(&self.me, &self.peers, &self.warmups, &record.server);
+            record.share.set(most);
+        }
+    }
+
+    /// Works out what depends on a server's entry and on others.
+    fn prepare(&mut self, slot: Slot) {
         if let Some(Some(record)) = self.records.get_mut(slot.index()) {
             record.is_evacuated = self.evacuation.contains(&record.server.zone);
+            let most = most(&self.me, &self.peers, &self.warmups, &record.server);
+            record.share.set(most);
         }
     }
 
@@ -381,7 +449,7 @@
         self.by_id.insert(server.id.clone(), slot);
         self.list(slot, &server);
         self.records[slot.index()] = Some(Record::new(slot, server, has_doubled_tag, now));
-        self.mark_evacuated(slot);
+        self.prepare(slot);
     }
 
     /// Takes in that a server's entry is gone.
@@ -594,6 +662,20 @@
     }
 }
 
+/// New flows that this instance may send a server while it is cold.
+fn most(
+    me: &id::Instance,
+    peers: &[Peer],
+    warmups: &HashMap<id::Service, Warmup>,
+    server: &Server,
+) -> Option<usize> {
+    let warmup = warmups.get(&server.service);
+    let rate = warmup
+        .map(|warmup| warmup.rate)
+        .filter(|rate| *rate > 0.0)?;
+    Some(warmup::share(me, peers, server, rate))
+}
+
 fn draining_since(server: &Server, before: Option<Instant>, now: Instant) -> Option<Instant> {
     match server.presence {
         Presence::Ready => None,
--- a/src/flow/note.rs
+++ b/src/flow/note.rs
@@ -22,17 +22,20 @@
     /// The copy of an opening packet whose server's zone has been evacuated
     /// meanwhile, while no other server takes new flows.
     Evacuated,
+    /// All servers are cold and have had this instance's share of new flows.
+    Cold,
 }
 
 impl Drop {
     /// Every reason, in the order of the list.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::NoView,
         Self::UnknownTag,
         Self::ServerSide,
         Self::NoWeight,
         Self::FullLink,
         Self::Evacuated,
+        Self::Cold,
     ];
 
     /// The reason as it stands in logs and metrics.
@@ -44,6 +47,7 @@
             Self::NoWeight => "no_weight",
             Self::FullLink => "full_link",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
         }
     }
 }
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -20,6 +20,7 @@
 use crate::flow::Drop;
 use crate::flow::Note;
 use crate::flow::Pair;
+use crate::flow::Peer;
 use crate::flow::Refusal;
 use crate::flow::RoundTrip;
 use crate::flow::Routes;
@@ -44,7 +45,9 @@
 /// What the decisions depend on.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// This instance's availability zone.
+    /// This instance.
+    pub instance: id::Instance,
+    /// Its availability zone.
     pub zone: id::Zone,
     /// Requests a slot by which a server of another zone must be less loaded
     /// than this zone's to get a new flow.
@@ -83,8 +86,8 @@
     Returned(id::Zone),
     /// All zones that are evacuated.
     Evacuation(BTreeSet<id::Zone>),
-    /// Instances that share this zone's callers, this one included.
-    Neighbours(usize),
+    /// The instances that share the callers.
+    Peers(Vec<Peer>),
     /// What the instances of this zone counted against servers.
     Testimony(Vec<Testimony>),
     /// The store has answered.
@@ -146,7 +149,11 @@
     /// A plane that knows nothing yet.
     pub fn new(options: Options) -> Self {
         Self {
-            directory: Directory::new(options.zone.clone(), options.flow_ttl),
+            directory: Directory::new(
+                options.instance.clone(),
+                options.zone.clone(),
+                options.flow_ttl,
+            ),
             routes: None,
             has_servers: false,
             neighbours: 1,
@@ -177,11 +184,13 @@
             Belief::Unreadable(server) => self.directory.mark_unreadable(&server),
             Belief::Gone(server) => self.directory.remove(now, &server),
             Belief::Routes(routes) => return self.configure(routes),
-            Belief::Evacuated(zone) => return self.directory.evacuate(|e| e.begin(now, zone)),
-            Belief::Returned(zone) => return self.directory.evacuate(|e| e.end(&zone)),
-            Belief::Evacuation(all) => return self.directory.evacuate(|e| e.replace(now, all)),
+            Belief::Evacuated(zone) => return self.directory.evacuate(now, |e| e.begin(now, zone)),
+            Belief::Returned(zone) => return self.directory.evacuate(now, |e| e.end(&zone)),
+            Belief::Evacuation(all) => {
+                return self.directory.evacuate(now, |e| e.replace(now, all));
+            }
             Belief::Testimony(told) => self.directory.hear(now, &told),
-            Belief::Neighbours(count) => self.neighbours = count.max(1),
+            Belief::Peers(peers) => self.meet(peers),
             Belief::Contact(contact) => self.directory.note_contact(contact),
             Belief::Silence => self.directory.note_silence(),
         }
@@ -194,11 +203,27 @@
         let known = self.routes.as_ref().map(|routes| routes.version);
         let is_newer = known.is_none_or(|known| routes.version > known);
         if is_newer {
+            self.directory.set_warmups(routes.warmups.clone());
             self.routes = Some(routes);
         }
         is_newer
     }
 
+    /// Takes over who shares the callers; this instance does even if its own entry
+    /// has lapsed.
+    fn meet(&mut self, mut peers: Vec<Peer>) {
+        let me = Peer {
+            instance: self.options.instance.clone(),
+            zone: self.options.zone.clone(),
+        };
+        if !peers.contains(&me) {
+            peers.push(me);
+        }
+        let is_near = |peer: &&Peer| peer.zone == self.options.zone;
+        self.neighbours = peers.iter().filter(is_near).count();
+        self.directory.set_peers(peers);
+    }
+
     /// Changes the margin of servers in other zones.
     pub fn set_spill(&mut self, spill: f64) {
         self.options.spill = spill;
@@ -293,6 +318,10 @@
             .or_else(|| self.choose(now, &service, &[]));
         match choice {
             Some(choice) => self.place(now, segment, packet, choice),
+            None if choice::is_spent(&self.directory, &service, now) => {
+                // The caller's copy, in a moment, costs it none of its tries.
+                Verdict::Drop(Drop::Cold)
+            }
             None if self.has_servers => {
                 let reason = match choice::is_evacuated(&self.directory, &service) {
                     true => Refusal::Evacuated,
@@ -338,6 +367,7 @@
             version: self.version(),
         };
         self.note(note);
+        self.directory.take_share(choice.slot, now);
         if self.table.has_room() {
             let due = now + self.round_trip.wait();
             let opening = Opening {
--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -189,6 +189,7 @@
     /// Counts an opening flow at a further server, which has some time to answer.
     fn open_at(&mut self, now: Instant, key: Key, slot: Slot) -> Option<Target> {
         let target = self.directory.get(slot)?.target();
+        self.directory.take_share(slot, now);
         self.move_flow(key, slot);
         let due = now + self.round_trip.wait();
         let flow = self.table.get_mut(key)?;
--- a/src/flow/route.rs
+++ b/src/flow/route.rs
@@ -9,6 +9,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::Pair;
+use crate::flow::Warmup;
 use crate::id;
 
 /// A share of a route's new flows.
@@ -58,7 +59,7 @@
 }
 
 /// The routes of one configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Routes {
     /// Version of the configuration; greater is newer.
     pub version: u64,
@@ -66,4 +67,6 @@
     pub by_address: HashMap<SocketAddrV4, Route>,
     /// Silence after which a flow may be forgotten.
     pub idle_timeout: Duration,
+    /// What servers bear after their start, by service.
+    pub warmups: HashMap<id::Service, Warmup>,
 }
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -70,8 +70,8 @@
         /// The first error.
         reason: String,
     },
-    /// Instances of this zone that are registered, this one included.
-    Neighbours(usize),
+    /// The instances that are registered.
+    Members(Vec<Member>),
     /// Changes come from here from now on.
     Source {
         /// The instance; `None` for the store itself.
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -97,8 +97,8 @@
     members: HashMap<String, Member>,
     /// The instances above this one, until the members change.
     above: Option<Vec<SocketAddrV4>>,
-    /// Members of this zone, as told last.
-    neighbours: usize,
+    /// Whether the members have changed since they were told last.
+    has_new_members: bool,
     /// Upstreams that failed.
     resting: HashMap<SocketAddrV4, Rest>,
     is_silent: bool,
@@ -128,7 +128,7 @@
         sender,
         members: HashMap::new(),
         above: None,
-        neighbours: 0,
+        has_new_members: false,
         resting: HashMap::new(),
         is_silent: true,
         presence: Presence::Unknown,
@@ -272,6 +272,7 @@
         }
         self.members.clear();
         self.above = None;
+        self.has_new_members = true;
         for entry in &entries {
             self.enroll(&entry.key, &entry.value);
         }
@@ -284,18 +285,16 @@
             revision,
         };
         self.sender.send(reset).await?;
-        self.tell_neighbours().await
+        self.tell_members().await
     }
 
-    /// Tells how many instances share this zone's callers, if that has changed.
-    async fn tell_neighbours(&mut self) -> Result<(), End> {
-        let zone = &self.sources.me.zone;
-        let count = self.members.values().filter(|m| m.zone == *zone).count();
-        if count != self.neighbours {
-            self.neighbours = count;
-            self.sender.send(Update::Neighbours(count)).await?;
+    /// Tells which instances share the callers, if that has changed.
+    async fn tell_members(&mut self) -> Result<(), End> {
+        if !std::mem::take(&mut self.has_new_members) {
+            return Ok(());
         }
-        Ok(())
+        let members = self.members.values().cloned().collect();
+        Ok(self.sender.send(Update::Members(members)).await?)
     }
 
     async fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Result<(), End> {
@@ -308,12 +307,13 @@
                 Change::Delete { key, .. } => {
                     if self.members.remove(key).is_some() {
                         self.above = None;
+                        self.has_new_members = true;
                     }
                 }
             }
             self.sender.send(Update::Change(change)).await?;
         }
-        self.tell_neighbours().await
+        self.tell_members().await
     }
 
     fn enroll(&mut self, key: &str, value: &[u8]) {
@@ -322,6 +322,7 @@
             Some(Ok(member)) => {
                 self.members.insert(key.to_owned(), member);
                 self.above = None;
+                self.has_new_members = true;
             }
             Some(Err(error)) => {
                 warn!(self.sources.log, "member refused"; "key" => key, "error" => %error);
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -14,3 +14,4 @@
 mod sequence;
 mod support;
 mod tag;
+mod warmup;
--- a/tests/flow/support.rs
+++ b/tests/flow/support.rs
@@ -64,11 +64,13 @@
         version,
         by_address: rows.iter().map(|(at, to)| (*at, route(to))).collect(),
         idle_timeout: Duration::from_secs(15),
+        warmups: Default::default(),
     }
 }
 
 pub(crate) fn options() -> Options {
     Options {
+        instance: "entry-1".parse().unwrap(),
         zone: LOCAL.parse().unwrap(),
         spill: 2.0,
         flow_ttl: Duration::from_secs(60),
