Connections to instances without power are tried again after 50 ms

Cause: after a loss of all power an instance that is back before the heads of its zone connects to machines that are still dark. Ruled out: the heads' own start, the size of the copy (27 ms on its way). Change: a further connection is begun every 50 ms beside those that do not stand. The test of the load fails with one try.

--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -1,4 +1,5 @@
-//! Delays between tries: exponential backoff with full jitter.
+//! Delays between tries: exponential backoff with full jitter, and tries that
+//! overlap.
 //!
 //! Full jitter draws each delay anywhere between nothing and the current bound.
 //! Many instances that lose the platform at the same moment thus come back
@@ -6,9 +7,12 @@
 
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::time;
 
 /// Bounds of a backoff.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,3 +62,16 @@
         self.has_failed
     }
 }
+
+/// Result of the first of several tries to end; each further one begins so long after
+/// the one before, while all of these still wait.
+pub async fn hedge<F: Future>(every: Duration, begin: impl Fn() -> F) -> F::Output {
+    let mut tries = FuturesUnordered::new();
+    loop {
+        tries.push(begin());
+        tokio::select! {
+            Some(result) = tries.next() => return result,
+            () = time::sleep(every) => {}
+        }
+    }
+}
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -16,6 +16,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::pacing;
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::replica::Member;
@@ -35,6 +36,13 @@
 /// milliseconds. While this is tried, the copy grows older.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after which another connection is tried beside one that does not stand yet.
+///
+/// Load pattern: machines have their power back within 0.3 s of each other. The opening
+/// packet to one that is still without is lost, and the operating system repeats it
+/// only after a second.
+const CONNECT_AGAIN: Duration = Duration::from_millis(50);
+
 /// Silence after which the upstream is left: three heartbeats.
 const SILENCE: Duration = Duration::from_millis(800);
 
@@ -117,7 +125,7 @@
         bases: Vec<Base>,
     ) -> Result<(Self, Report)> {
         let joining = async {
-            let stream = TcpStream::connect(peer).await;
+            let stream = pacing::hedge(CONNECT_AGAIN, || TcpStream::connect(peer)).await;
             let stream = stream.map_err(|error| unreachable(peer, &error))?;
             let framed = Framed::new(stream, message::codec());
             let subscribe = Subscribe {
--- a/tests/replication/start.rs
+++ b/tests/replication/start.rs
@@ -1,11 +1,16 @@
 //! A whole fleet that starts at once.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use godwitreel::pacing::hedge;
 use godwitreel::replica::Bandwidth;
 use godwitreel::replica::Member;
 use godwitreel::replica::candidates;
 use godwitreel::replica::copy_wait;
+use tokio::time;
+use tokio::time::Instant;
 
 /// Instances of each of six zones.
 const IN_ZONE: usize = 59;
@@ -154,3 +159,36 @@
     assert!(longest <= Duration::from_millis(1_500), "{longest:?}");
     assert!(waits.iter().all(|wait| *wait >= first));
 }
+
+// Guards against an instance that comes back before those with a copy and waits for a
+// connection whose opening packet was lost while they had no power.
+#[tokio::test(start_paused = true)]
+async fn a_connection_stands_soon_after_its_peer_has_power() {
+    let begin = Instant::now();
+    let power = begin + Duration::from_millis(220);
+    let connect = || async move {
+        if Instant::now() < power {
+            std::future::pending::<()>().await;
+        }
+        time::sleep(Duration::from_millis(1)).await;
+    };
+    hedge(Duration::from_millis(50), connect).await;
+    assert!(
+        begin.elapsed() < Duration::from_millis(275),
+        "{:?}",
+        begin.elapsed()
+    );
+}
+
+// Guards against further connections to a peer that answers, if only by a refusal.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_answers_is_asked_once() {
+    let tries = AtomicUsize::new(0);
+    let refuse = || async {
+        tries.fetch_add(1, Ordering::Relaxed);
+        Err::<(), _>("refused")
+    };
+    let result = hedge(Duration::from_millis(50), refuse).await;
+    assert_eq!(result, Err("refused"));
+    assert_eq!(tries.load(Ordering::Relaxed), 1);
+}
