Operators evacuate a zone: godwitreel zone evacuate ZONE [--undo] [--wait]

The product had no such order; on the users' platform it is an entry of theirs. A zone that no server is listed in is an error with the names of those there are. Test: tool::a_zone_is_evacuated_and_used_again.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -69,7 +69,7 @@
     let mut loads = Vec::new();
     for server in &service.servers {
         let state = server.state();
-        if is_known(&state, trust, now) && !state.is_leaving() && !state.is_resting(now) {
+        if is_known(&state, trust, now) && !state.is_closed() && !state.is_resting(now) {
             let size = f64::from(server.slots) * state.warmth(now, profile);
             loads.push((server, f64::from(state.feed_load()), size));
         }
@@ -169,7 +169,7 @@
         .filter(usable)
         .filter_map(|server| {
             let state = server.state();
-            if !is_known(&state, trust, now) || state.is_leaving() || state.is_resting(now) {
+            if !is_known(&state, trust, now) || state.is_closed() || state.is_resting(now) {
                 return None;
             }
             let load = weigh(server, &state, work, now, profile)?;
--- a/src/bin/godwitreel/app.rs
+++ b/src/bin/godwitreel/app.rs
@@ -113,6 +113,11 @@
         undo: bool,
         name: id::Server,
     },
+    Zone {
+        undo: bool,
+        wait: Option<Duration>,
+        name: id::Zone,
+    },
 }
 
 /// A shell whose completions can be had.
@@ -188,6 +193,9 @@
     let server = server()
         .command("server")
         .help("Let a backend server leave");
+    let zone = zone()
+        .command("zone")
+        .help("Let an availability zone's servers get nothing new");
     let status = leaf(bpaf::pure(Action::Status))
         .command("status")
         .help("Show the state of every instance");
@@ -202,6 +210,7 @@
         service,
         instance,
         server,
+        zone,
         status,
         explain,
         report,
@@ -369,6 +378,16 @@
         .to_options()
 }
 
+fn zone() -> OptionParser<Call> {
+    let undo = long("undo").help("Use the zone's servers again").switch();
+    let wait = wait();
+    let name = positional("ZONE").help("Name of the availability zone");
+    leaf(construct!(Drain::Zone { undo, wait, name }).map(Action::Drain))
+        .command("evacuate")
+        .help("Let a zone's servers get nothing new until it is undone; open feeds stay")
+        .to_options()
+}
+
 fn explain() -> impl Parser<Call> {
     let service = long("service")
         .help("The service that was asked")
--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -17,6 +17,7 @@
 use godwitreel::query;
 use godwitreel::query::departure::Departure;
 use godwitreel::query::departure::Goal;
+use godwitreel::query::evacuation::Evacuation;
 use godwitreel::query::rollout::Rollout;
 use godwitreel::render;
 use godwitreel::render::Output;
@@ -208,6 +209,22 @@
             let result = command::drain::server(client, operator, &name, undo).await?;
             Ok(left(config, result, None))
         }
+        Drain::Zone { undo, wait, name } => {
+            let result = command::drain::zone(client, operator, &name, undo).await?;
+            let accepted = result.outcome == command::drain::Outcome::Accepted;
+            let wait = match wait.filter(|_| accepted) {
+                Some(limit) => Some(query::evacuation::wait(fleet, &name, !undo, limit).await),
+                None => None,
+            };
+            let exit = Exit::whole(wait.as_ref().is_none_or(Evacuation::is_whole));
+            let exit = ordered(result.outcome, exit);
+            let waited = Waited { result, wait };
+            print(config, &waited, |waited| {
+                let evacuation = waited.wait.as_ref().map(render::evacuation);
+                lines(render::drain(&waited.result), evacuation)
+            });
+            Ok(exit)
+        }
     }
 }
 
@@ -216,14 +233,18 @@
     query::departure::wait(fleet, name, goal, limit).await
 }
 
-fn left(config: &Config, result: command::drain::Drain, wait: Option<Departure>) -> Exit {
-    let exit = match result.outcome {
-        command::drain::Outcome::Accepted => {
-            Exit::whole(wait.as_ref().is_none_or(|departure| departure.reached))
-        }
+/// The exit of an order; `accepted` is that of one that was accepted.
+fn ordered(outcome: command::drain::Outcome, accepted: Exit) -> Exit {
+    match outcome {
+        command::drain::Outcome::Accepted => accepted,
         command::drain::Outcome::Refused => Exit::Refused,
         command::drain::Outcome::Unknown => Exit::Unknown,
-    };
+    }
+}
+
+fn left(config: &Config, result: command::drain::Drain, wait: Option<Departure>) -> Exit {
+    let reached = wait.as_ref().is_none_or(|departure| departure.reached);
+    let exit = ordered(result.outcome, Exit::whole(reached));
     let waited = Waited { result, wait };
     print(config, &waited, |waited| {
         let departure = waited.wait.as_ref().map(render::departure);
--- a/src/command/drain.rs
+++ b/src/command/drain.rs
@@ -1,13 +1,18 @@
-//! Wishing that an instance or a backend server leaves, and taking that back.
+//! Wishing that an instance, a backend server or a zone's servers leave, and taking
+//! that back.
 //!
 //! A wish is a key that is there or not; it has no revisions. Wishing for what is
 //! wished already changes nothing and is no error.
 
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::command;
 use crate::command::change;
+use crate::document;
+use crate::error::Error;
 use crate::error::Result;
 use crate::id;
 use crate::path;
@@ -39,7 +44,7 @@
 /// An order and what became of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Drain {
-    /// The key, as in `drain/servers/NAME`.
+    /// The key, as in `drain/servers/NAME` or `drain/zones/NAME`.
     pub document: String,
     /// Whether the wish was to be taken back.
     pub undo: bool,
@@ -88,6 +93,45 @@
     order(client, operator, &path::server_drain(name), &subject, undo).await
 }
 
+/// Orders that a zone's servers get no new work, or takes that back.
+///
+/// # Errors
+///
+/// After an error nothing was written and nothing will be. [`Error::Unknown`] when
+/// no server of the zone is listed, unless the order is taken back.
+pub async fn zone(
+    client: &Client,
+    operator: &id::Operator,
+    name: &id::Zone,
+    undo: bool,
+) -> Result<Drain> {
+    if !undo {
+        check_zone(client, name).await?;
+    }
+    let key = path::evacuation(name);
+    stand(client, operator, &key, undo).await
+}
+
+/// A slip of the pen must not look like a zone that is evacuated.
+async fn check_zone(client: &Client, zone: &id::Zone) -> Result<()> {
+    let listing = client.list(path::SERVERS).await?;
+    let servers = listing.entries.iter();
+    let zones = servers.filter_map(|entry| {
+        let server: document::Server = serde_json::from_slice(&entry.value).ok()?;
+        Some(server.zone)
+    });
+    let zones: BTreeSet<id::Zone> = zones.collect();
+    if zones.contains(zone) {
+        return Ok(());
+    }
+    let known: Vec<String> = zones.iter().map(ToString::to_string).collect();
+    Err(Error::Unknown {
+        kind: "zone",
+        name: zone.to_string(),
+        known: known.join(", "),
+    })
+}
+
 async fn order(
     client: &Client,
     operator: &id::Operator,
@@ -96,13 +140,7 @@
     undo: bool,
 ) -> Result<Drain> {
     let subject_listed = client.get(subject).await?.is_some();
-    let current = client.get(key).await?;
-    let mut drain = match (undo, current) {
-        (true, Some(entry)) => erase(client, key, &entry).await?,
-        (true, None) => drained(key, true, Outcome::Accepted, None),
-        (false, Some(entry)) => drained(key, false, Outcome::Accepted, Some(&entry)),
-        (false, None) => write(client, operator, key).await?,
-    };
+    let mut drain = stand(client, operator, key, undo).await?;
     // The lists lag, so a name that is not there yet is taken, but a slip of the
     // pen must not look like a drain that works.
     if !subject_listed && !undo {
@@ -111,6 +149,17 @@
     Ok(drain)
 }
 
+/// Makes the key stand, or not.
+async fn stand(client: &Client, operator: &id::Operator, key: &str, undo: bool) -> Result<Drain> {
+    let current = client.get(key).await?;
+    match (undo, current) {
+        (true, Some(entry)) => erase(client, key, &entry).await,
+        (true, None) => Ok(drained(key, true, Outcome::Accepted, None)),
+        (false, Some(entry)) => Ok(drained(key, false, Outcome::Accepted, Some(&entry))),
+        (false, None) => write(client, operator, key).await,
+    }
+}
+
 async fn write(client: &Client, operator: &id::Operator, key: &str) -> Result<Drain> {
     let wish = Wish {
         operator: operator.clone(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,7 @@
 use crate::document::Envelope;
 use crate::document::Profile;
 use crate::id;
+use crate::path;
 use crate::platform::Entry;
 use crate::server::Server;
 use crate::snapshot::Service;
@@ -28,7 +29,7 @@
 pub const OURS: &str = "godwitreel/";
 
 /// The platform's own list of backend servers.
-pub const SERVERS: &str = "platform/servers/";
+pub use crate::path::SERVERS;
 
 const PROFILES: &str = "godwitreel/profiles/";
 const SERVICES: &str = "godwitreel/services/";
@@ -59,6 +60,7 @@
     services: BTreeMap<id::Service, InForce<document::Service>>,
     servers: BTreeMap<id::Server, Arc<Server>>,
     drained: BTreeSet<String>,
+    evacuated: BTreeSet<id::Zone>,
     /// Revision of the store up to which the platform has told everything, by prefix.
     horizons: BTreeMap<String, u64>,
     /// Keys that a peer knows to be gone, with the revision up to which they are.
@@ -146,6 +148,11 @@
             self.services.remove(&id);
         }
         self.drained.remove(key);
+        if let Some(zone) = evacuated_zone(key)
+            && self.evacuated.remove(&zone)
+        {
+            self.evacuate(&zone, false);
+        }
     }
 
     /// Drops what is not among the platform's keys any more. What a peer gave and
@@ -214,12 +221,15 @@
             // What is known of another process under the same name is worthless.
             None => {
                 let server = Arc::new(Server::new(id.clone(), &listed));
-                self.servers.insert(id, server);
+                self.servers.insert(id.clone(), server);
             }
         }
         if self.drained.contains(&format!("{DRAINED_SERVERS}{name}")) {
             self.drain(name, true);
         }
+        if let Some(server) = self.servers.get(&id) {
+            server.state().evacuated = self.evacuated.contains(&server.zone);
+        }
         Ok(())
     }
 
@@ -229,9 +239,24 @@
         } else if let Some(name) = key.strip_prefix(DRAINED_SERVERS) {
             self.drained.insert(key.to_owned());
             self.drain(name, true);
+        } else if let Some(zone) = evacuated_zone(key) {
+            self.evacuate(&zone, true);
+            self.evacuated.insert(zone);
+        }
+    }
+
+    fn evacuate(&self, zone: &id::Zone, is_evacuated: bool) {
+        let servers = self.servers.values();
+        for server in servers.filter(|server| server.zone == *zone) {
+            server.state().evacuated = is_evacuated;
         }
     }
 
+    /// Zones whose servers get no new work, as operators ordered.
+    pub fn evacuated(&self) -> &BTreeSet<id::Zone> {
+        &self.evacuated
+    }
+
     fn drain(&self, name: &str, drained: bool) {
         let server = name
             .parse()
@@ -354,3 +379,8 @@
     };
     known.insert(id, document);
 }
+
+/// The zone that a key evacuates; `None` for other keys.
+fn evacuated_zone(key: &str) -> Option<id::Zone> {
+    key.strip_prefix(path::EVACUATIONS)?.parse().ok()
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -45,6 +45,17 @@
         allowed: String,
     },
 
+    /// A name that nothing has; nothing was changed.
+    #[error("no {kind} {name}: known are {known}")]
+    Unknown {
+        /// What was named.
+        kind: &'static str,
+        /// The name.
+        name: String,
+        /// Names that something has, separated by commas.
+        known: String,
+    },
+
     /// Reading or writing failed.
     #[error("{step} ({peer}): {source}")]
     Io {
--- a/src/path.rs
+++ b/src/path.rs
@@ -31,9 +31,12 @@
     format!("{INSTANCES}{name}")
 }
 
+/// Before the name of a backend server in the platform's own list.
+pub const SERVERS: &str = "platform/servers/";
+
 /// Key of a backend server in the platform's own list.
 pub fn server(name: &id::Server) -> String {
-    format!("platform/servers/{name}")
+    format!("{SERVERS}{name}")
 }
 
 /// Key of the wish that an instance leaves.
@@ -46,6 +49,14 @@
     format!("godwitreel/drain/servers/{name}")
 }
 
+/// Before the names of evacuated zones.
+pub const EVACUATIONS: &str = "godwitreel/drain/zones/";
+
+/// Key of the order to evacuate an availability zone.
+pub fn evacuation(zone: &id::Zone) -> String {
+    format!("{EVACUATIONS}{zone}")
+}
+
 /// Before the revisions in a profile's history.
 pub fn history(name: &id::Profile) -> String {
     format!("godwitreel/history/profiles/{name}/")
--- a/src/query.rs
+++ b/src/query.rs
@@ -3,6 +3,7 @@
 
 pub mod burn;
 pub mod departure;
+pub mod evacuation;
 pub mod explain;
 pub mod profile;
 pub mod rollout;
--- a/src/render.rs
+++ b/src/render.rs
@@ -24,6 +24,7 @@
 use crate::fleet::Silence;
 use crate::id;
 use crate::query::departure::Departure;
+use crate::query::evacuation::Evacuation;
 use crate::query::explain::Account;
 use crate::query::profile::Diff;
 use crate::query::profile::fields;
@@ -341,6 +342,34 @@
     format!("{reached}: {}: {}", departure.instance, departure.seen)
 }
 
+/// How far an order about a zone has come.
+pub fn evacuation(evacuation: &Evacuation) -> String {
+    let zone = &evacuation.zone;
+    let order = match evacuation.is_evacuated {
+        true => "evacuated",
+        false => "in use again",
+    };
+    if evacuation.is_whole() {
+        let count = evacuation.in_force.len();
+        return format!("{zone} is {order} at all {count} instances");
+    }
+    let mut table = new(["instance", "in force", "note"]);
+    for instance in &evacuation.in_force {
+        table.add_row([instance.as_str(), "yes", ""]);
+    }
+    for instance in &evacuation.behind {
+        table.add_row([instance.as_str(), "no", ""]);
+    }
+    for silence in &evacuation.silent {
+        table.add_row([&silence.instance, "not heard", &silence.reason]);
+    }
+    join([
+        format!("{zone} is not {order} everywhere yet"),
+        table.to_string(),
+        unlisted(evacuation.unlisted.as_deref()),
+    ])
+}
+
 /// State of every instance.
 pub fn status(gathered: &Gathered<Status>) -> String {
     let mut table = new([
--- a/src/server.rs
+++ b/src/server.rs
@@ -67,6 +67,8 @@
     pub listed: Listed,
     /// Whether an operator says that it is leaving.
     pub drained: bool,
+    /// Whether operators have evacuated its zone: feeds stay, and nothing new comes.
+    pub evacuated: bool,
     /// Whether its own health answer says that it is leaving.
     pub draining: bool,
     /// Whether a connection is open whose end tells of the process's end.
@@ -112,6 +114,7 @@
                 feeds_elsewhere: 0,
                 listed: listed.state,
                 drained: false,
+                evacuated: false,
                 draining: false,
                 witnessed: false,
                 confirmed_until: None,
@@ -270,6 +273,11 @@
         self.drained || self.draining || self.listed == Listed::Leaving
     }
 
+    /// Whether it is to get nothing new, for good or until its zone is back.
+    pub fn is_closed(&self) -> bool {
+        self.evacuated || self.is_leaving()
+    }
+
     /// Whether it rests after failures or asked for a pause.
     pub fn is_resting(&self, now: Instant) -> bool {
         let later = |until: Option<Instant>| until.is_some_and(|until| now < until);
@@ -278,7 +286,7 @@
 
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.is_confirmed(now) && !self.is_leaving() && !self.is_resting(now) && !self.is_on_trial()
+        self.is_confirmed(now) && !self.is_closed() && !self.is_resting(now) && !self.is_on_trial()
     }
 
     /// Whether one request is finding out if it still refuses.
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -139,6 +139,7 @@
             in_progress: self.pool.sum(|gauge| &gauge.in_progress),
             feeds: self.pool.sum(|gauge| &gauge.feeds),
             peers: peers.collect(),
+            evacuated: self.config().evacuated().clone(),
             servers,
         }
     }
--- a/src/status.rs
+++ b/src/status.rs
@@ -9,6 +9,7 @@
 //! | `GET /burn` | the burn counts |
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -44,6 +45,9 @@
     pub feeds: u64,
     /// The other instances that it knows.
     pub peers: Vec<Peer>,
+    /// Zones whose servers get no new work, as operators ordered.
+    #[serde(default)]
+    pub evacuated: BTreeSet<id::Zone>,
     /// The backend servers.
     pub servers: Vec<Server>,
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -548,6 +548,38 @@
     assert_eq!(kept.code, 0, "{kept:?}");
 }
 
+// Guards against an order for a zone that nobody has, and against one that is taken for
+// done while an instance does not act on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_is_evacuated_and_used_again() {
+    let mut bench = Bench::start().await;
+    let key = "godwitreel/drain/zones/kality";
+    let unknown = bench.run(&["zone", "evacuate", "kality"]).await;
+    assert_eq!(unknown.code, 1, "{unknown:?}");
+    assert!(unknown.err.contains("no zone kality"), "{unknown:?}");
+    assert_eq!(bench.stored(key), None);
+    let server = json!({ "service": "dispatch", "zone": "kality", "address": "127.0.0.1:1",
+        "health": "127.0.0.1:2", "slots": 2, "state": "up" });
+    bench
+        .platform
+        .put("platform/servers/d1", server.to_string());
+    bench
+        .instance("bole-1", || status("bole-1", json!({})))
+        .await;
+    let order = ["zone", "evacuate", "kality", "--wait=0"];
+    let waited = bench.run(&order).await;
+    assert_eq!(waited.code, 4, "bole-1 does not act on it: {waited:?}");
+    assert_eq!(waited.json()["wait"]["behind"], json!(["bole-1"]));
+    assert_eq!(bench.stored(key).unwrap()["operator"], "alem");
+    let again = bench.run_as("hana", &["zone", "evacuate", "kality"]).await;
+    assert_eq!(again.json()["wish"]["operator"], "alem");
+    let undone = bench
+        .run(&["zone", "evacuate", "kality", "--undo", "--wait"])
+        .await;
+    assert_eq!(undone.code, 0, "{undone:?}");
+    assert_eq!(bench.stored(key), None);
+}
+
 // The answer to taking a wish back is lost, and before the tool looks, another
 // operator wishes the same again. The new wish must stand: a second, blind
 // deletion would let a server that is leaving take work again.
