Status takes the configuration's lock before the control's, never within it

Cause: the status read the evacuated zones while it held the control's lock; whoever holds the configuration's and waits for the control's then waits for ever.

--- a/src/shared.rs
+++ b/src/shared.rs
@@ -4,6 +4,7 @@
 //! never across an await. Server states and the outlet's listeners are leaves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -111,7 +112,7 @@
 
     /// What `GET /status` answers.
     pub(crate) fn status(&self, now: Instant) -> status::Status {
-        let (revisions, refused, servers) = self.configured(now);
+        let configured = self.configured(now);
         let control = self.control();
         let (homes, backups, alone) = control.holdings();
         let silent = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
@@ -131,27 +132,20 @@
             ready: self.ready.load(Ordering::Relaxed),
             leaving: control.is_leaving(),
             platform_silent_ms: control.last_contact().map(silent),
-            revisions,
-            refused,
+            revisions: configured.revisions,
+            refused: configured.refused,
             homes,
             backups,
             alone,
             in_progress: self.pool.sum(|gauge| &gauge.in_progress),
             feeds: self.pool.sum(|gauge| &gauge.feeds),
             peers: peers.collect(),
-            evacuated: self.config().evacuated().clone(),
-            servers,
+            evacuated: configured.evacuated,
+            servers: configured.servers,
         }
     }
 
-    fn configured(
-        &self,
-        now: Instant,
-    ) -> (
-        BTreeMap<String, id::Revision>,
-        BTreeMap<String, String>,
-        Vec<status::Server>,
-    ) {
+    fn configured(&self, now: Instant) -> Configured {
         let config = self.config();
         let servers = config.servers().map(|server| {
             let state = server.state();
@@ -165,10 +159,19 @@
                 feeds: state.feeds,
             }
         });
-        (
-            config.revisions(),
-            config.refused().clone(),
-            servers.collect(),
-        )
+        Configured {
+            revisions: config.revisions(),
+            refused: config.refused().clone(),
+            evacuated: config.evacuated().clone(),
+            servers: servers.collect(),
+        }
     }
 }
+
+/// The part of a status that the configuration tells, taken under its lock alone.
+struct Configured {
+    revisions: BTreeMap<String, id::Revision>,
+    refused: BTreeMap<String, String>,
+    evacuated: BTreeSet<id::Zone>,
+    servers: Vec<status::Server>,
+}
