New flows compare eight servers drawn at random, not all

Cause: every instance of a zone looks for the least loaded of all servers and knows its own requests only. A server that has just come is the least loaded for all of them, and its queue fills (22 of 22 instances choose it in the same moment).

Change: eight are compared, drawn by a random start and step. Pools of eight or fewer are chosen from as before.

--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -34,6 +34,14 @@
 /// of a zone would move together from one server to the next.
 const TOLERATED_SHARE: f64 = 0.35;
 
+/// Servers that are compared for one flow, of those that may take it.
+///
+/// Load pattern: servers are replaced one after the other under load, and dozens of
+/// instances look for the least loaded one, each knowing its own requests only. If
+/// all compare all, all find the newest server at once, and its queue fills. Of a few
+/// drawn at random each finds another one.
+const SAMPLE: usize = 8;
+
 /// How a chosen server stood against the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Choice {
@@ -79,7 +87,7 @@
     pub(crate) now: Instant,
 }
 
-/// Picks the server with the least load for its size, this zone's first.
+/// Picks the server with the least load for its size of a few, this zone's first.
 ///
 /// Servers that are silent are used only when all are, so that wrong evidence
 /// never leaves a service without servers; servers whose entry has just lapsed
@@ -143,11 +151,9 @@
         if slots.is_empty() {
             return;
         }
-        // Ties go to the first one seen, so that the start has to be random, or
-        // all instances fill the same server.
-        let start = random.random_range(0..slots.len());
-        let (before, after) = slots.split_at(start);
-        for slot in after.iter().chain(before) {
+        let mut sampled = 0;
+        for place in order(slots.len(), random) {
+            let slot = &slots[place];
             let Some(record) = self.directory.get(*slot) else {
                 continue;
             };
@@ -160,7 +166,31 @@
             if self.best.is_none_or(|(least, _)| load < least) {
                 self.best = Some((load, *slot));
             }
+            sampled += 1;
+            if sampled == SAMPLE {
+                return;
+            }
+        }
+    }
+}
+
+/// All places below a count, each once, in an order that is drawn at random: from a
+/// start on, in steps that meet no place twice.
+fn order(count: usize, random: &mut SmallRng) -> impl Iterator<Item = usize> {
+    let start = random.random_range(0..count);
+    let step = loop {
+        let step = random.random_range(1..=count);
+        if gcd(step, count) == 1 {
+            break step;
         }
+    };
+    (0..count).map(move |number| (start + number * step) % count)
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    match b {
+        0 => a,
+        _ => gcd(b, a % b),
     }
 }
 
--- a/tests/flow/choice.rs
+++ b/tests/flow/choice.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use godwitreel::flow::Belief;
+use godwitreel::flow::Options;
+use godwitreel::flow::Plane;
 use tokio::time::Instant;
 
 use crate::support::*;
@@ -73,3 +75,39 @@
     }
     assert!(counts[&2] < counts[&1], "{counts:?}");
 }
+
+/// Requests that a server works on and lets wait.
+const ROOM: usize = 2 + 8;
+
+// Guards against a server that has just come and that all instances of a zone choose in
+// the same moment: the queue of one that is empty overflows.
+#[test]
+fn a_new_server_is_not_chosen_by_all_instances_at_once() {
+    const INSTANCES: u64 = 22;
+    const SERVERS: u8 = 30;
+    let now = Instant::now();
+    let mut arrivals = 0;
+    for number in 0..INSTANCES {
+        let mut plane = Plane::new(Options {
+            seed: number,
+            ..options()
+        });
+        let rows = [(BOOKINGS, "dispatch")];
+        plane.learn(now, Belief::Routes(routes(1, &rows)));
+        let listed = (1..=SERVERS).map(|n| server(n, "dispatch", LOCAL));
+        let listed = listed.collect();
+        let unreadable = Vec::new();
+        plane.learn(now, Belief::Servers { listed, unreadable });
+        for port in 0..4 * u16::from(SERVERS) {
+            let caller = Caller::new(port, BOOKINGS);
+            let target = open(&mut plane, now, &caller);
+            plane.receive(now + ms(20), &caller.acknowledge(500, target.tag), b"");
+        }
+        plane.learn(now, Belief::Server(server(SERVERS + 1, "dispatch", LOCAL)));
+        let packet = Caller::new(1_000, BOOKINGS).opening(0);
+        let target = forwarded(plane.receive(now + ms(30), &packet, b"packet"));
+        arrivals += usize::from(target.serial.0 == u64::from(SERVERS) + 1);
+    }
+    assert!(arrivals <= ROOM, "{arrivals} of {INSTANCES}");
+    assert!(arrivals > 0, "a new server is found");
+}
