--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -40,6 +40,8 @@
     pub serial: u64,
     /// Port of the route whose requests it runs.
     pub port: u16,
+    /// Number of its availability zone.
+    pub zone: u8,
 }
 
 struct Flow {
@@ -128,7 +130,9 @@
     async fn open(&self, segment: &Segment, from: SocketAddr) {
         if let IpAddr::V4(instance) = from.ip() {
             let port = segment.pair.service.port();
-            self.ledger.opened(self.identity.serial, port, instance);
+            let zone = self.identity.zone;
+            self.ledger
+                .opened(self.identity.serial, zone, port, instance);
         }
         if segment.pair.service.port() != self.identity.port {
             self.ledger
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -43,6 +43,8 @@
     Route,
     /// Several configurations in quick succession.
     Storm(u8),
+    /// A zone's servers are to get no new flows for so many milliseconds.
+    Evacuate(u8, u64),
 }
 
 impl fmt::Display for Kind {
@@ -102,6 +104,24 @@
     }
 }
 
+/// Evacuations of a seed, one after the other, in order of time. They are drawn apart, so
+/// that the faults of a seed stay what they were.
+pub fn draw_evacuations(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    let mut evacuations = Vec::new();
+    let mut at = random.random_range(500..4_000);
+    loop {
+        let ms = random.random_range(500..9_000);
+        if Duration::from_millis(at + ms) >= length {
+            return evacuations;
+        }
+        let kind = Kind::Evacuate(random.random_range(0..2), ms);
+        let begin = Duration::from_millis(at);
+        evacuations.push(Fault { at: begin, kind });
+        at += ms + random.random_range(500..4_000);
+    }
+}
+
 /// Whether others may not hear of a change meanwhile, so that one is worth making.
 fn may_hide(kind: Kind) -> bool {
     matches!(
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -75,6 +75,8 @@
     draining: HashMap<u64, Instant>,
     /// Serials of backend servers that run.
     alive: HashMap<u64, ()>,
+    /// Zones by number: when their evacuation was acknowledged.
+    evacuated: HashMap<u8, Instant>,
     /// Routes by port: when they were last added (`true`) or withdrawn.
     routes: HashMap<u16, (bool, Instant)>,
     faults: Vec<(Duration, String)>,
@@ -148,13 +150,23 @@
         self.lock().draining.insert(serial, Instant::now());
     }
 
+    /// The store has acknowledged that a zone is evacuated, or used again.
+    pub fn evacuate(&self, zone: u8, is_evacuated: bool) {
+        let mut state = self.lock();
+        if is_evacuated {
+            state.evacuated.insert(zone, Instant::now());
+        } else {
+            state.evacuated.remove(&zone);
+        }
+    }
+
     /// The store has acknowledged that a route was added or withdrawn.
     pub fn route(&self, port: u16, is_added: bool) {
         self.lock().routes.insert(port, (is_added, Instant::now()));
     }
 
-    /// A backend server took an opening packet from an instance.
-    pub fn opened(&self, serial: u64, port: u16, instance: Ipv4Addr) {
+    /// A backend server of a zone took an opening packet from an instance.
+    pub fn opened(&self, serial: u64, zone: u8, port: u16, instance: Ipv4Addr) {
         let now = Instant::now();
         let state = self.lock();
         if !state.is_in_touch(instance, now) {
@@ -166,7 +178,13 @@
         let withdrawn = state.routes.get(&port);
         let withdrawn = withdrawn.filter(|(added, since)| !added && is_late(since));
         let dropped = withdrawn.map(|(_, since)| now - *since);
+        let evacuated = state.evacuated.get(&zone).filter(|since| is_late(since));
+        let emptied = evacuated.map(|since| now - *since);
         drop(state);
+        if let Some(late) = emptied {
+            let detail = format!("server {serial:x} after {late:?} by {instance}");
+            self.breach("evacuated zone got a new flow", detail);
+        }
         if let Some(late) = late {
             let detail = format!("server {serial:x} after {late:?} by {instance}");
             self.breach("draining server got a new flow", detail);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -104,6 +104,7 @@
             block: arguments.block,
             port: 7_000,
         },
+        evacuates: true,
     };
     // A runtime of its own: when it goes, so do the run's tasks and sockets.
     let runtime = Runtime::new().map_err(|error| Error::Process {
