--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -124,7 +124,7 @@
     };
     search.look(&pool.home, 0.0, random, &is_candidate);
     // No server of another zone can be better than its margin, so that most
-    // flows need no look at the others, three quarters of all in four zones.
+    // flows need no look at the others.
     if search.best.is_none_or(|(load, _)| load > question.spill) {
         search.look(&pool.away, question.spill, random, &is_candidate);
     }
--- a/src/flow/plane/opening.rs
+++ b/src/flow/plane/opening.rs
@@ -110,7 +110,8 @@
     /// where instances join one after the other, others' flows do. Without this, an
     /// instance that starts suspects all servers in its first second and opens flows
     /// at several of them. Where a server is silent all the same, the caller's own
-    /// copy, which comes to where its first packet came, shows it.
+    /// copy shows it, here or at the instance to which routers have turned, which
+    /// places the flow anew.
     pub(super) fn is_silence_told(&self, key: Key) -> bool {
         let Some(Flow {
             phase: Phase::Opening(opening),
