An instance that starts reads its zone's roster and waits by size

Cause: after all 986 instances of a fleet were killed, each listed its zone's members (quadratic), asked every instance above at once, and read the whole store when no copy had come after 1.5 s at most. The readings shared the store's link, so that no copy came, and all read (29,188 calls, eight seconds without service).

Ruled out: a longer wait alone (the same at twice the size).

Change: the first of a zone keeps a roster of the first 32 in the store; who starts reads one key, asks one source after the other, and waits in proportion to the number of keys while a source answers. Only the first reads at once, the next heads follow by a third of a reading each.

Model of 6 zones (tests/replication/restart.rs), readings per zone before / after: 102 / 3 at 1,000 instances.

--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -69,8 +69,9 @@
     pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
     /// Decodes the response to a listing.
     pub decode_page: fn(&[u8]) -> DecodeResult<Page>,
-    /// Path and query of a read of one key.
-    pub get_path: fn(key: &str) -> String,
+    /// Path and query of a read of one key. A stale response, which may be seconds old,
+    /// costs the store less.
+    pub get_path: fn(key: &str, allow_stale: bool) -> String,
     /// Decodes the response to a read of one key.
     pub decode_single: fn(&[u8]) -> DecodeResult<Page>,
     /// Path and query of a poll for changes after a revision.
@@ -128,10 +129,23 @@
     /// [`crate::Error::Refused`] if the key does not exist; otherwise as for
     /// [`Reader::page`].
     pub async fn get(&self, key: &str) -> Result<Page> {
+        self.get_with(key, false).await
+    }
+
+    /// Reads one key as it was up to some seconds ago, which costs the store less.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Reader::get`].
+    pub async fn get_stale(&self, key: &str) -> Result<Page> {
+        self.get_with(key, true).await
+    }
+
+    async fn get_with(&self, key: &str, allow_stale: bool) -> Result<Page> {
         let call = Call {
             step: "read",
             kind: Kind::Read,
-            path: (self.dialect.get_path)(key).into(),
+            path: (self.dialect.get_path)(key, allow_stale).into(),
             body: None,
             wait: Duration::ZERO,
         };
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -7,10 +7,11 @@
 //! heartbeat carries the age of the last contact with the store, so that an instance
 //! whose upstream is cut off, frozen or gone notices in time and polls the store itself.
 //!
-//! An instance that starts gets its first copy from the heads of its zone. These are
-//! the first three by rank, which also replace an upstream that is cut off. A
-//! subscriber that had to follow an instance higher up the tree moves back down once
-//! its intended upstream can be reached.
+//! An instance that starts reads its zone's roster, which names the instances that rank
+//! first, and gets its first copy from one of these. Only the heads of the zone, which
+//! are the first three by rank, read the store at once; they also replace an upstream
+//! that is cut off. A subscriber that had to follow an instance higher up the tree moves
+//! back down once its intended upstream can be reached.
 //!
 //! Subscribers are sent the newest change of each key: small values at once in messages
 //! of bounded size, large values in parts and compressed against the version that the
@@ -24,6 +25,7 @@
 mod backlog;
 mod bandwidth;
 mod copy;
+mod first_copy;
 mod follow;
 mod handover;
 mod liveness;
@@ -34,6 +36,7 @@
 mod pack;
 mod publish;
 mod register;
+mod roster;
 mod store;
 mod subscribe;
 mod tree;
@@ -57,6 +60,7 @@
 pub use copy::Snapshot;
 pub use copy::StoreCopy;
 pub use copy::Update;
+pub use first_copy::FirstCopyPlan;
 pub use liveness::FleetLiveness;
 pub use liveness::ZoneLiveness;
 pub use message::HeldValue;
@@ -76,6 +80,7 @@
 pub use pack::pack;
 pub use pack::unpack;
 pub use register::Member;
+pub use roster::Roster;
 pub use store::KeyLayout;
 pub use store::PollTiming;
 pub use tree::candidates;
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -257,6 +257,11 @@
         }
     }
 
+    /// Number of keys, including the deletions that are kept.
+    pub(crate) fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
     /// All entries, ordered by key.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.keys
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -14,6 +14,7 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -27,12 +28,14 @@
 use crate::replica::KeyLayout;
 use crate::replica::Member;
 use crate::replica::PollTiming;
+use crate::replica::Roster;
 use crate::replica::SharedCopy;
 use crate::replica::Update;
 use crate::replica::copy;
 use crate::replica::follow::poll::LargeValueState;
 use crate::replica::follow::upstream::Cooldown;
 use crate::replica::register;
+use crate::replica::roster;
 use crate::replica::store;
 use crate::replica::store::Listing;
 use crate::replica::subscribe::UpstreamUpdate;
@@ -102,6 +105,8 @@
     upstreams: Option<Vec<SocketAddrV4>>,
     /// Whether the members have changed since they were last reported.
     has_new_members: bool,
+    /// The zone's roster while this instance is the first of the zone.
+    roster: watch::Sender<Option<Roster>>,
     /// Upstreams that failed.
     cooldowns: HashMap<SocketAddrV4, Cooldown>,
     is_store_silent: bool,
@@ -129,6 +134,15 @@
     sender: mpsc::Sender<Update>,
 ) {
     let options = sources.reader.client().options().clone();
+    let (wanted_roster, wanted) = watch::channel(None);
+    let maintainer = roster::Maintainer {
+        reader: sources.reader.clone(),
+        zone: sources.me.zone.clone(),
+        shared: Arc::clone(&shared),
+        wanted,
+        log: sources.log.clone(),
+    };
+    tokio::spawn(maintainer.run());
     let mut follower = Follower {
         sources,
         shared,
@@ -136,6 +150,7 @@
         members: HashMap::new(),
         upstreams: None,
         has_new_members: false,
+        roster: wanted_roster,
         cooldowns: HashMap::new(),
         is_store_silent: true,
         store_state: StoreState::Reachable,
@@ -306,10 +321,27 @@
         if !std::mem::take(&mut self.has_new_members) {
             return Ok(());
         }
+        self.update_roster();
         let members = self.members.values().cloned().collect();
         Ok(self.sender.send(Update::Members(members)).await?)
     }
 
+    /// Sets the roster that the zone should have, if this instance is the first of the zone.
+    fn update_roster(&mut self) {
+        let me = &self.sources.me;
+        let is_member = self.members.contains_key(&register::key(me));
+        let is_first = is_member && self.upstreams().is_empty();
+        let wanted = is_first.then(|| {
+            let members: Vec<Member> = self.members.values().cloned().collect();
+            Roster::of(&self.sources.me.zone, &members, 0)
+        });
+        self.roster.send_if_modified(|roster| {
+            let is_changed = *roster != wanted;
+            *roster = wanted;
+            is_changed
+        });
+    }
+
     async fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Result<(), FollowEnd> {
         for change in self.shared.apply(changes, revision) {
             if copy::key(&change) == self.sources.keys.config_key {
@@ -332,6 +364,8 @@
     fn add_member(&mut self, key: &str, value: &[u8]) {
         match register::parse_member(key, value) {
             None => {}
+            // An instance that restarts registers as what it was.
+            Some(Ok(member)) if self.members.get(key) == Some(&member) => {}
             Some(Ok(member)) => {
                 self.members.insert(key.to_owned(), member);
                 self.upstreams = None;
--- a/src/replica/follow/search.rs
+++ b/src/replica/follow/search.rs
@@ -13,6 +13,8 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -64,13 +66,15 @@
         time::sleep_until(self.started_at + ASK_OTHERS_AFTER).await;
         let old_from = self.started_at + ACCEPT_OLD_AFTER;
         let mut requested = HashSet::from([self.me.address]);
+        let answering = AnsweringPeers::default();
         let mut copies = FuturesUnordered::new();
         let mut newest: Option<UpstreamUpdate> = None;
         loop {
             let copy_holders = self.copy_holders.borrow_and_update().clone();
             for address in self.seeds.iter().copied().chain(copy_holders) {
                 if requested.insert(address) {
-                    copies.push(await_copy(address, &self.me, RETRY_PAUSES, &self.log));
+                    let copy = await_copy(address, &self.me, RETRY_PAUSES, &answering, &self.log);
+                    copies.push(copy);
                 }
             }
             if Instant::now() >= old_from
@@ -99,16 +103,41 @@
     }
 }
 
+/// Number of instances that have accepted a subscription and not sent a copy yet.
+#[derive(Debug, Default)]
+pub(super) struct AnsweringPeers(AtomicUsize);
+
+impl AnsweringPeers {
+    pub(super) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Counts an instance until the guard is dropped.
+    fn add(&self) -> AnsweringPeer<'_> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        AnsweringPeer(&self.0)
+    }
+}
+
+struct AnsweringPeer<'a>(&'a AtomicUsize);
+
+impl Drop for AnsweringPeer<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Waits until an instance has a copy and returns it.
 pub(super) async fn await_copy(
     peer: SocketAddrV4,
     me: &Member,
     retry: BackoffBounds,
+    answering: &AnsweringPeers,
     log: &Logger,
 ) -> UpstreamUpdate {
     let mut pause = retry.first_delay;
     loop {
-        match request_copy(peer, me).await {
+        match request_copy(peer, me, answering).await {
             Ok(update) => return update,
             Err(error) => info!(log, "no copy from another instance"; "error" => %error),
         }
@@ -117,9 +146,14 @@
     }
 }
 
-async fn request_copy(peer: SocketAddrV4, me: &Member) -> crate::Result<UpstreamUpdate> {
+async fn request_copy(
+    peer: SocketAddrV4,
+    me: &Member,
+    answering: &AnsweringPeers,
+) -> crate::Result<UpstreamUpdate> {
     let opened = Subscription::open(peer, me, None, Vec::new()).await;
     let (mut subscription, mut update) = opened?;
+    let _answering = answering.add();
     while !update.is_full_copy {
         update = subscription.next_update().await?;
     }
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -5,7 +5,7 @@
 //! store's own link would be full for a fifth of a second, and a slow link for another
 //! 0.35 s, while every caller waits. So only the heads of a zone read the store, which
 //! are the instances with the fastest links, and the others get a compressed copy from
-//! them.
+//! them. [`FirstCopyPlan`] decides whom an instance asks, and when it stops waiting.
 //!
 //! Another load pattern: instances are restarted in turn, the store becomes
 //! unreachable, and further instances are killed. An instance that starts then can only
@@ -16,47 +16,42 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use slog::info;
 use tokio::time;
 use tokio::time::Instant;
 
 use crate::pacing::BackoffBounds;
+use crate::replica::FirstCopyPlan;
 use crate::replica::Member;
+use crate::replica::Roster;
+use crate::replica::first_copy::ASK_INTERVAL;
 use crate::replica::follow::FollowEnd;
 use crate::replica::follow::Follower;
 use crate::replica::follow::MAX_RETRY_PAUSE;
 use crate::replica::follow::StoreState;
 use crate::replica::follow::search;
+use crate::replica::follow::search::AnsweringPeers;
 use crate::replica::follow::search::CopySearch;
 use crate::replica::register;
+use crate::replica::roster;
 use crate::replica::store;
 use crate::replica::subscribe::UpstreamUpdate;
-use crate::replica::tree;
-use crate::replica::tree::HEAD_COUNT;
 
 /// Pause before an instance that does not respond yet is asked for a copy again. The
 /// store is read in parallel, so this does not go on for long.
 const RETRY_PAUSES: BackoffBounds = BackoffBounds {
     first_delay: Duration::from_millis(25),
-    max_delay: Duration::from_millis(25),
+    max_delay: Duration::from_millis(100),
 };
 
-/// Instances from which the first copy is requested.
-struct CopySources {
-    /// Their addresses; empty when this instance is a head of its zone.
-    addresses: Vec<SocketAddrV4>,
-    /// How long to wait for them before the store is read as well.
-    wait: Duration,
-}
-
 impl Follower {
     /// Gets the first copy, from the store or from an instance that has one.
     ///
     /// Machines that lose power together regain it within 0.3 s of each other, so the
     /// instances to ask may not be running yet. An instance that gets no copy in time
-    /// also reads the store, and takes whichever arrives first. The wait starts at
-    /// [`crate::replica::PollTiming::copy_wait`] and grows by rank, so that they do not all
-    /// read the store at once.
+    /// also reads the store, and takes whichever arrives first.
     ///
     /// Until the store has responded, all instances that may have a copy are asked as
     /// well. One search continues across all attempts to reach the store: on a slow link,
@@ -66,12 +61,12 @@
         let search = self.search().run();
         tokio::pin!(search);
         loop {
-            let copy_sources = tokio::select! {
-                copy_sources = self.copy_sources() => copy_sources,
+            let plan = tokio::select! {
+                plan = self.first_copy_plan() => plan,
                 update = &mut search => return self.apply_found_copy(update).await,
             };
-            match copy_sources {
-                Ok(copy_sources) => return self.fetch_copy_from(copy_sources).await,
+            match plan {
+                Ok(plan) => return self.fetch_copy_by(plan).await,
                 Err(FollowEnd::Failed(error)) => self.record_failure(&error).await?,
                 Err(closed) => return Err(closed),
             }
@@ -103,16 +98,18 @@
     }
 
     /// Gets the first copy while the store responds.
-    async fn fetch_copy_from(&mut self, copy_sources: CopySources) -> Result<(), FollowEnd> {
+    async fn fetch_copy_by(&mut self, plan: FirstCopyPlan) -> Result<(), FollowEnd> {
         let reader = self.sources.reader.clone();
         let all = self.sources.keys.root_prefix;
-        if copy_sources.addresses.is_empty() {
+        if plan.sources.is_empty() {
             let listing = store::list(&reader, all).await?;
             return self.apply_listing(listing).await;
         }
-        let copying = self.first_copy_from(&copy_sources.addresses);
+        let answering = AnsweringPeers::default();
+        let copying = self.first_copy_from(&plan, &answering);
         let reading = async {
-            time::sleep(copy_sources.wait).await;
+            wait_for_turn(&plan, &answering).await;
+            info!(self.sources.log, "no copy in time"; "answering" => answering.count());
             store::list(&reader, all).await
         };
         let first = tokio::select! {
@@ -125,12 +122,28 @@
         }
     }
 
-    /// Reads the list of members from the store and returns the instances to ask for a
-    /// copy.
-    async fn copy_sources(&mut self) -> Result<CopySources, FollowEnd> {
+    /// Reads the zone's roster, or the list of its members if it has none, and plans from
+    /// whom to get a copy.
+    async fn first_copy_plan(&mut self) -> Result<FirstCopyPlan, FollowEnd> {
         let reader = self.sources.reader.clone();
-        let zone = register::zone_prefix(&self.sources.me.zone);
-        let page = reader.page(&zone, None).await?;
+        let (zone, log) = (&self.sources.me.zone, &self.sources.log);
+        let roster = match roster::read(&reader, zone, log).await? {
+            Some(roster) => roster,
+            None => self.list_members().await?,
+        };
+        let first_wait = self.sources.timing.copy_wait;
+        let plan = FirstCopyPlan::new(&self.sources.me, &roster, first_wait);
+        info!(self.sources.log, "first copy"; "sources" => plan.sources.len(),
+            "wait_ms" => plan.wait.as_millis() as u64,
+            "patience_ms" => plan.patience.as_millis() as u64);
+        Ok(plan)
+    }
+
+    /// Reads the members of the own zone from the store.
+    async fn list_members(&mut self) -> Result<Roster, FollowEnd> {
+        let zone = self.sources.me.zone.clone();
+        let prefix = register::zone_prefix(&zone);
+        let page = self.sources.reader.page(&prefix, None).await?;
         for entry in &page.entries {
             self.add_member(&entry.key, &entry.value);
         }
@@ -139,30 +152,42 @@
         let me = self.sources.me.clone();
         self.members.entry(register::key(&me)).or_insert(me);
         self.upstreams = None;
-        let upstreams = self.upstreams();
-        let is_head = upstreams.len() < HEAD_COUNT;
         let members: Vec<Member> = self.members.values().cloned().collect();
-        let (me, first) = (&self.sources.me, self.sources.timing.copy_wait);
-        Ok(CopySources {
-            addresses: if is_head { Vec::new() } else { upstreams },
-            wait: tree::copy_wait(&me.instance, &me.zone, &members, first),
-        })
+        Ok(Roster::of_listed(&zone, &members))
     }
 
-    /// The first copy that any of the instances returns. All are asked in parallel, since
-    /// a machine without power does not even refuse a connection.
-    async fn first_copy_from(&self, addresses: &[SocketAddrV4]) -> UpstreamUpdate {
-        let copies = addresses
-            .iter()
-            .map(|address| Box::pin(self.copy_from(*address)));
-        let (update, _, _) = futures::future::select_all(copies).await;
-        update
+    /// The first copy that any of the sources returns. A source is asked while the ones
+    /// before it do not answer, or have no copy for long.
+    async fn first_copy_from(
+        &self,
+        plan: &FirstCopyPlan,
+        answering: &AnsweringPeers,
+    ) -> UpstreamUpdate {
+        let mut copies = FuturesUnordered::new();
+        let mut remaining = plan.sources.iter();
+        let mut asked_at = Instant::now();
+        loop {
+            let pause = match answering.count() {
+                0 => ASK_INTERVAL,
+                _ => plan.ask_pause,
+            };
+            if (copies.is_empty() || asked_at.elapsed() >= pause)
+                && let Some(source) = remaining.next()
+            {
+                copies.push(self.copy_from(*source, answering));
+                asked_at = Instant::now();
+            }
+            tokio::select! {
+                Some(update) = copies.next() => return update,
+                () = time::sleep(ASK_INTERVAL) => {}
+            }
+        }
     }
 
     /// Waits until an instance has a fresh copy and returns it.
-    async fn copy_from(&self, address: SocketAddrV4) -> UpstreamUpdate {
+    async fn copy_from(&self, address: SocketAddrV4, answering: &AnsweringPeers) -> UpstreamUpdate {
         let (me, log) = (&self.sources.me, &self.sources.log);
-        let update = search::await_copy(address, me, RETRY_PAUSES, log).await;
+        let update = search::await_copy(address, me, RETRY_PAUSES, answering, log).await;
         if self.is_fresh(&update) {
             return update;
         }
@@ -172,3 +197,12 @@
         std::future::pending().await
     }
 }
+
+/// Waits until this instance should read the store itself.
+async fn wait_for_turn(plan: &FirstCopyPlan, answering: &AnsweringPeers) {
+    let begin = Instant::now();
+    time::sleep(plan.wait).await;
+    while answering.count() > 0 && begin.elapsed() < plan.patience {
+        time::sleep(ASK_INTERVAL).await;
+    }
+}
--- a/src/replica/tree.rs
+++ b/src/replica/tree.rs
@@ -66,7 +66,7 @@
 const WAIT_INCREASE_PER_RANK: f64 = 0.5;
 
 /// Longest wait for a copy when the instances that should have one are gone.
-const MAX_COPY_WAIT: Duration = Duration::from_millis(1_500);
+pub(crate) const MAX_COPY_WAIT: Duration = Duration::from_millis(1_500);
 
 /// How long an instance that starts waits for another instance's copy before it reads
 /// the store as well; `first` is the wait of the first instance after the heads.
--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -4,6 +4,7 @@
 mod board;
 mod copy;
 mod parcels;
+mod restart;
 mod rows;
 mod start;
 mod storm;
