Records of servers are found by index, not by walk

Cause: a server that came or restarted, each member's change with cold servers limited, and every timer walked all records: costs of one change grew with the fleet, and those of replacing all servers with its square.

Ruled out: shares of cold servers by rank and count alone (one instance more would move all of them); they follow a ring of hashes, as exact as before.

Change: index by address, places in pools, queue of missing entries, set of servers with failures, count of listed ones; quotas of cold servers on demand. `directory.rs` is split, its circle with `choice.rs` is gone.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -3,12 +3,16 @@
 //!     cargo run --release --example slopes -- core
 //!     cargo run --release --example slopes -- memory
 //!     cargo run --release --example slopes -- fleet
+//!     cargo run --release --example slopes -- entry [--json]
 //!
-//! `core` calls the engine and the slice planner directly; `memory` runs only the first
+//! `entry` measures an instance of the users' platform at four sizes, up to 20,000 servers
+//! and 2,000 instances, and the growth between the last two. `core` calls the engine and the slice planner directly; `memory` runs only the first
 //! part of it. `fleet` starts up to nine real daemons on loopback, with stand-ins for
 //! the platform and the backend servers. Build the daemon first, with
 //! `cargo build --release`.
 
+#[path = "utils/entry.rs"]
+mod entry;
 #[path = "utils/fit.rs"]
 mod fit;
 #[path = "utils/fixture.rs"]
@@ -70,7 +74,8 @@
             message_sizes();
         }
         Some("fleet") => fleet::run(fleet_slopes()),
-        _ => println!("usage: slopes memory|core|fleet"),
+        Some("entry") => entry::run(std::env::args().any(|argument| argument == "--json")),
+        _ => println!("usage: slopes memory|core|fleet|entry [--json]"),
     }
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -51,7 +51,7 @@
 use crate::flow::Target;
 use crate::flow::Timing;
 use crate::flow::Verdict;
-use crate::flow::directory::Record;
+use crate::flow::record::Record;
 use crate::id;
 use crate::poll::Reader;
 use crate::replica;
--- a/src/flow/choice.rs
+++ b/src/flow/choice.rs
@@ -5,8 +5,8 @@
 use tokio::time::Instant;
 
 use crate::flow::directory::Directory;
-use crate::flow::directory::Record;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::Record;
+use crate::flow::record::ServerHandle;
 use crate::id;
 
 /// Weight of an open flow relative to a request in progress.
@@ -20,20 +20,6 @@
 /// per request while they are cold.
 const COLD_SPEED: f64 = 0.6;
 
-/// Load per slot that is added to a server at which all requests fail; a lower share of
-/// failures adds proportionally less.
-///
-/// Load pattern: one server in ten answers with errors at once, or hangs. Without the
-/// penalty, the failing server is always the least loaded and attracts flows, and the
-/// hanging one gets another request whenever a caller gives up. The penalty is larger
-/// than the spill margin, so that servers of other zones are preferred to failing ones.
-const MAX_PENALTY: f64 = 4.0;
-
-/// Share of failures up to which a server gets no penalty. Queues that fill for a moment
-/// make some requests look stalled. If each of them moved load away, all instances of a
-/// zone would move together from one server to the next.
-const TOLERATED_BAD_SHARE: f64 = 0.35;
-
 /// Number of eligible servers that are compared for one flow.
 ///
 /// Load pattern: servers are replaced one by one under load, and dozens of instances
@@ -75,7 +61,7 @@
     let servers = pool.local.iter().chain(&pool.remote);
     let records = servers.filter_map(|handle| directory.get(*handle));
     records
-        .filter(|record| !record.is_evacuated && record.is_quota_exhausted(now))
+        .filter(|record| !record.is_evacuated && directory.is_quota_exhausted(record, now))
         .any(|record| record.accepts_by_last_entry() || directory.accepts_while_missing(record))
 }
 
@@ -174,8 +160,11 @@
             let Some(record) = self.directory.get(*handle) else {
                 continue;
             };
-            let is_excluded = record.is_evacuated || record.is_quota_exhausted(self.criteria.now);
-            if is_excluded || self.criteria.tried.contains(handle) || !is_candidate(record) {
+            let is_excluded = record.is_evacuated || self.criteria.tried.contains(handle);
+            if is_excluded || !is_candidate(record) {
+                continue;
+            }
+            if self.directory.is_quota_exhausted(record, self.criteria.now) {
                 continue;
             }
             self.candidates += 1;
@@ -228,9 +217,3 @@
     let slots = f64::from(record.server.slots.max(1));
     total / (slots * speed) + record.penalty
 }
-
-/// Load that a server's share of failures adds.
-pub(crate) fn penalty(bad_share: f64) -> f64 {
-    let excess = (bad_share - TOLERATED_BAD_SHARE).max(0.0);
-    MAX_PENALTY * excess / (1.0 - TOLERATED_BAD_SHARE)
-}
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -5,27 +5,30 @@
 //! during an outage of the store.
 
 use std::cmp::Ordering;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::flow::Evacuation;
-use crate::flow::Incarnation;
 use crate::flow::Peer;
-use crate::flow::Serial;
+use crate::flow::PeerRing;
+use crate::flow::Server;
 use crate::flow::ServerOutcomes;
+use crate::flow::ServerState;
 use crate::flow::StoreContact;
 use crate::flow::Tag;
 use crate::flow::Warmup;
 use crate::flow::baseline::ResponseBaseline;
-use crate::flow::choice;
-use crate::flow::liveness::Liveness;
 use crate::flow::outcome::RequestOutcomes;
-use crate::flow::warmup;
-use crate::flow::warmup::ColdQuota;
+use crate::flow::pool::Pool;
+use crate::flow::record::Record;
+use crate::flow::record::ServerHandle;
+use crate::flow::record::draining_since;
 use crate::id;
 
 /// How long after another server's start at the same address the former server may still
@@ -37,182 +40,6 @@
 /// the same time, further reports hardly improve the selection.
 const MAX_OUTCOME_REPORTS: usize = 64;
 
-/// The state that a server announces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerState {
-    /// Accepts new flows.
-    Ready,
-    /// Finishes its open flows and then stops.
-    Draining,
-}
-
-/// A server as listed in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Server {
-    /// Key of the server in the store.
-    pub id: id::Server,
-    /// Identity that datagrams to the server carry.
-    pub serial: Serial,
-    /// Current incarnation; `None` if the entry does not contain one.
-    pub incarnation: Option<Incarnation>,
-    /// The service that the server runs.
-    pub service: id::Service,
-    /// Address that receives datagrams.
-    pub address: SocketAddrV4,
-    /// Availability zone of the server.
-    pub zone: id::Zone,
-    /// Number of requests that the server processes concurrently.
-    pub slots: u32,
-    /// Whether the server accepts new flows.
-    pub state: ServerState,
-    /// How long the server stays slow after its start.
-    pub cold_for: Duration,
-}
-
-/// Destination of a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Target {
-    /// Address of the server.
-    pub address: SocketAddrV4,
-    /// Identity of the intended server.
-    pub serial: Serial,
-    /// Tag that routes the later packets of the flow to the server.
-    pub tag: Tag,
-}
-
-/// Handle of a server's incarnation in the directory. It stays valid until the server is
-/// removed, which happens after all of its flows have been forgotten.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct ServerHandle {
-    index: u32,
-    /// Number of earlier incarnations of the server.
-    generation: u32,
-}
-
-impl ServerHandle {
-    fn index(self) -> usize {
-        self.index as usize
-    }
-
-    /// Whether both refer to incarnations of the same server.
-    pub(crate) fn is_same_server(self, other: Self) -> bool {
-        self.index == other.index
-    }
-}
-
-/// State that is kept for a server.
-#[derive(Debug)]
-pub(crate) struct Record {
-    pub(crate) server: Server,
-    pub(crate) tag: Tag,
-    /// Number of earlier incarnations.
-    generation: u32,
-    /// Whether the entry cannot be parsed and therefore gets no new flows; the server itself
-    /// may be alive.
-    pub(crate) is_unreadable: bool,
-    /// When the entry was found missing; `None` while it is listed.
-    pub(crate) missing_since: Option<Instant>,
-    /// When another server has started at the same address.
-    replaced_since: Option<Instant>,
-    pub(crate) draining_since: Option<Instant>,
-    /// Whether the server's zone is evacuated.
-    pub(crate) is_evacuated: bool,
-    pub(crate) cold_until: Instant,
-    /// Quota of new flows from this instance while the server is cold.
-    pub(crate) cold_quota: ColdQuota,
-    pub(crate) liveness: Liveness,
-    pub(crate) outcomes: RequestOutcomes,
-    /// Requests of this instance that the server has not answered yet.
-    pub(crate) outstanding: u32,
-    /// Open flows seen by this instance.
-    pub(crate) flows: u32,
-    /// Load added for the share of failures, as last computed.
-    pub(crate) penalty: f64,
-    /// Whether an older server has the same tag, so that the flows of both could not be
-    /// distinguished.
-    has_duplicate_tag: bool,
-}
-
-impl Record {
-    fn new(handle: ServerHandle, server: Server, has_duplicate_tag: bool, now: Instant) -> Self {
-        Self {
-            tag: Tag::of(server.serial),
-            generation: handle.generation,
-            is_unreadable: false,
-            missing_since: None,
-            replaced_since: None,
-            draining_since: draining_since(&server, None, now),
-            is_evacuated: false,
-            cold_until: now + server.cold_for,
-            cold_quota: ColdQuota::default(),
-            liveness: Liveness::default(),
-            outcomes: RequestOutcomes::default(),
-            outstanding: 0,
-            flows: 0,
-            penalty: 0.0,
-            has_duplicate_tag,
-            server,
-        }
-    }
-
-    pub(crate) fn target(&self) -> Target {
-        Target {
-            address: self.server.address,
-            serial: self.server.serial,
-            tag: self.tag,
-        }
-    }
-
-    /// Updates the cached penalty. A selection compares dozens of servers, most of which have
-    /// no failures, so that the penalty is not computed there.
-    pub(crate) fn update_penalty(&mut self, now: Instant) {
-        self.penalty = choice::penalty(self.outcomes.bad_share(now));
-    }
-
-    /// Whether the server is cold and this instance has used up its quota for it.
-    pub(crate) fn is_quota_exhausted(&self, now: Instant) -> bool {
-        now < self.cold_until && !self.cold_quota.has_room(now)
-    }
-
-    /// Whether the server accepts new flows.
-    pub(crate) fn accepts_flows(&self) -> bool {
-        self.accepts_by_last_entry() && !self.is_unreadable
-    }
-
-    /// Whether the server accepts new flows according to its last readable entry.
-    pub(crate) fn accepts_by_last_entry(&self) -> bool {
-        let ready = self.server.state == ServerState::Ready;
-        let is_listed = self.missing_since.is_none() && self.replaced_since.is_none();
-        ready && is_listed && !self.has_duplicate_tag
-    }
-
-    /// Whether the server has answered after `at`.
-    fn has_answered_since(&self, at: Instant) -> bool {
-        self.liveness.last_answer() > Some(at)
-    }
-}
-
-/// The servers of one service.
-#[derive(Debug, Default)]
-pub(crate) struct Pool {
-    /// Servers in this instance's availability zone.
-    pub(crate) local: Vec<ServerHandle>,
-    /// Servers in other zones.
-    pub(crate) remote: Vec<ServerHandle>,
-    /// Typical duration and size of the service's answers.
-    pub(crate) baseline: ResponseBaseline,
-}
-
-impl Pool {
-    fn list_mut(&mut self, is_local: bool) -> &mut Vec<ServerHandle> {
-        if is_local {
-            &mut self.local
-        } else {
-            &mut self.remote
-        }
-    }
-}
-
 /// All known servers.
 #[derive(Debug)]
 pub struct Directory {
@@ -223,9 +50,18 @@
     free_handles: Vec<ServerHandle>,
     by_id: HashMap<id::Server, ServerHandle>,
     by_tag: HashMap<Tag, ServerHandle>,
+    /// Indexes of the records by address. Several servers may have had an address.
+    by_address: HashMap<SocketAddrV4, Vec<u32>>,
     by_service: HashMap<id::Service, Pool>,
     /// How long a server without an entry is kept.
     retention: Duration,
+    /// Servers by the time at which their entry was found missing, the earliest first.
+    /// Those whose entry is back stay until their time has passed.
+    missing: VecDeque<(Instant, ServerHandle)>,
+    /// Number of servers that are listed now.
+    listed: usize,
+    /// Indexes of the servers for which failures may be counted.
+    with_failures: BTreeSet<u32>,
     /// Whether entries contain incarnations. If so, an entry without one comes from another
     /// writer and is handled as unreadable.
     entries_have_incarnation: bool,
@@ -235,7 +71,7 @@
     /// Name of this instance.
     own_instance: id::Instance,
     /// The instances that share the callers, including this one.
-    peers: Vec<Peer>,
+    peers: PeerRing,
     /// Load limits of cold servers, by service.
     warmups: HashMap<id::Service, Warmup>,
 }
@@ -249,15 +85,16 @@
             free_handles: Vec::new(),
             by_id: HashMap::new(),
             by_tag: HashMap::new(),
+            by_address: HashMap::new(),
             by_service: HashMap::new(),
             retention,
+            missing: VecDeque::new(),
+            listed: 0,
+            with_failures: BTreeSet::new(),
             entries_have_incarnation: false,
             contact: None,
             evacuation: Evacuation::default(),
-            peers: vec![Peer {
-                instance: own_instance.clone(),
-                zone: zone.clone(),
-            }],
+            peers: PeerRing::new(&own_instance, &[]),
             warmups: HashMap::new(),
             own_instance,
             zone,
@@ -287,12 +124,14 @@
     /// are reassigned. Without this rule, callers with open flows there would wait until
     /// their deadlines, because the entries first have to lapse and stay missing.
     fn mark_replaced(&mut self, now: Instant, server: &Server) {
-        for record in self.records.iter_mut().flatten() {
-            let known = &record.server;
-            let is_former = known.address == server.address && known.id != server.id;
+        let indexes = self.by_address.get(&server.address);
+        for index in indexes.into_iter().flatten() {
+            let Some(Some(record)) = self.records.get_mut(*index as usize) else {
+                continue;
+            };
             // An earlier incarnation is a late write and replaces no server.
-            let is_later = server.incarnation >= known.incarnation;
-            if is_former && is_later {
+            let is_later = server.incarnation >= record.server.incarnation;
+            if record.server.id != server.id && is_later {
                 record.replaced_since.get_or_insert(now);
             }
         }
@@ -325,19 +164,25 @@
         };
         if self.get(handle).is_some_and(is_moved) {
             self.remove_from_pool(handle);
-            self.add_to_pool(handle, &server);
+            self.add_to_pool(handle, &server.service, server.zone == self.zone);
+        }
+        let known_address = self.get(handle).map(|record| record.server.address);
+        if known_address != Some(server.address) {
+            self.remove_address(handle);
+            self.add_address(handle, server.address);
         }
         let Some(record) = self.get_mut(handle) else {
             return;
         };
-        record.missing_since = None;
+        let is_back = record.missing_since.take().is_some();
         // A server that writes its entry is alive.
         record.replaced_since = None;
         record.is_unreadable = false;
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
         record.server = server;
-        self.update_derived_fields(handle);
+        self.listed += usize::from(is_back);
+        self.update_evacuated(handle);
     }
 
     /// Replaces a server's record by one for its next incarnation, which has no open flows.
@@ -348,6 +193,10 @@
     /// the new incarnation, which resets unknown flows, so that the callers know at once.
     fn restart(&mut self, now: Instant, former: ServerHandle, server: Server) {
         self.remove_from_pool(former);
+        self.remove_address(former);
+        self.with_failures.remove(&former.index);
+        let was_missing = self.get(former).is_some_and(|r| r.missing_since.is_some());
+        self.listed += usize::from(was_missing);
         let handle = ServerHandle {
             generation: former.generation.wrapping_add(1),
             ..former
@@ -357,10 +206,23 @@
         if !has_duplicate_tag {
             self.by_tag.insert(tag, handle);
         }
+        self.add_record(now, handle, server, has_duplicate_tag);
+    }
+
+    fn add_record(
+        &mut self,
+        now: Instant,
+        handle: ServerHandle,
+        server: Server,
+        has_duplicate_tag: bool,
+    ) {
+        let (service, address) = (server.service.clone(), server.address);
+        let is_local = server.zone == self.zone;
         self.by_id.insert(server.id.clone(), handle);
-        self.add_to_pool(handle, &server);
         self.records[handle.index()] = Some(Record::new(handle, server, has_duplicate_tag, now));
-        self.update_derived_fields(handle);
+        self.add_to_pool(handle, &service, is_local);
+        self.add_address(handle, address);
+        self.update_evacuated(handle);
     }
 
     /// Changes the set of evacuated zones. Returns `false` if that has no effect.
@@ -389,51 +251,48 @@
     }
 
     /// Replaces the list of instances that share the callers, including this one.
-    pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
-        self.peers = peers;
-        self.update_cold_quotas();
+    pub(crate) fn set_peers(&mut self, peers: &[Peer]) {
+        self.peers = PeerRing::new(&self.own_instance, peers);
     }
 
     /// Replaces the load limits of cold servers.
     pub(crate) fn set_warmups(&mut self, warmups: HashMap<id::Service, Warmup>) {
-        if self.warmups != warmups {
-            self.warmups = warmups;
-            self.update_cold_quotas();
+        self.warmups = warmups;
+    }
+
+    /// Whether a server is cold and this instance has used up its quota for it.
+    pub(crate) fn is_quota_exhausted(&self, record: &Record, now: Instant) -> bool {
+        if now >= record.cold_until {
+            return false;
         }
+        let rate = self.cold_rate(record);
+        rate.is_some_and(|rate| {
+            let quota = self.peers.cold_flow_quota(&record.server, rate);
+            record.cold_flows.count(now) >= quota
+        })
+    }
+
+    /// Requests per second that a server can process from all instances together while it is
+    /// cold; `None` for no limit.
+    fn cold_rate(&self, record: &Record) -> Option<f64> {
+        let warmup = self.warmups.get(&record.server.service)?;
+        Some(warmup.rate).filter(|rate| *rate > 0.0)
     }
 
     /// Counts a new flow against the quota if the server is cold.
     pub(crate) fn use_cold_quota(&mut self, handle: ServerHandle, now: Instant) {
-        if let Some(record) = self.get_mut(handle)
-            && now < record.cold_until
+        let is_limited =
+            |record: &Record| now < record.cold_until && self.cold_rate(record).is_some();
+        if self.get(handle).is_some_and(is_limited)
+            && let Some(record) = self.get_mut(handle)
         {
-            record.cold_quota.count_flow(now);
+            record.cold_flows.add(now);
         }
     }
 
-    fn update_cold_quotas(&mut self) {
-        for record in self.records.iter_mut().flatten() {
-            let limit = quota_limit(
-                &self.own_instance,
-                &self.peers,
-                &self.warmups,
-                &record.server,
-            );
-            record.cold_quota.set(limit);
-        }
-    }
-
-    /// Updates the fields that depend on the entry, the evacuated zones and the peers.
-    fn update_derived_fields(&mut self, handle: ServerHandle) {
+    fn update_evacuated(&mut self, handle: ServerHandle) {
         if let Some(Some(record)) = self.records.get_mut(handle.index()) {
             record.is_evacuated = self.evacuation.contains(&record.server.zone);
-            let limit = quota_limit(
-                &self.own_instance,
-                &self.peers,
-                &self.warmups,
-                &record.server,
-            );
-            record.cold_quota.set(limit);
         }
     }
 
@@ -454,6 +313,7 @@
                 generation: 0,
             }
         });
+        self.listed += 1;
         let tag = Tag::of(server.serial);
         // The older server keeps the tag, because its flows carry it already. Packets for
         // the newer one would reach the wrong server, so it gets no flows.
@@ -461,17 +321,20 @@
         if !has_duplicate_tag {
             self.by_tag.insert(tag, handle);
         }
-        self.by_id.insert(server.id.clone(), handle);
-        self.add_to_pool(handle, &server);
-        self.records[handle.index()] = Some(Record::new(handle, server, has_duplicate_tag, now));
-        self.update_derived_fields(handle);
+        self.add_record(now, handle, server, has_duplicate_tag);
     }
 
     /// Marks a server's entry as missing.
     pub fn remove(&mut self, now: Instant, id: &id::Server) {
-        let handle = self.by_id.get(id).copied();
-        if let Some(record) = handle.and_then(|handle| self.get_mut(handle)) {
-            record.missing_since.get_or_insert(now);
+        let Some(handle) = self.by_id.get(id).copied() else {
+            return;
+        };
+        if let Some(record) = self.get_mut(handle)
+            && record.missing_since.is_none()
+        {
+            record.missing_since = Some(now);
+            self.missing.push_back((now, handle));
+            self.listed -= 1;
         }
     }
 
@@ -551,49 +414,79 @@
 
     /// Removes servers that have been missing for longer than the lifetime of a flow.
     pub fn forget(&mut self, now: Instant) {
-        let retention = self.retention;
-        let is_expired =
-            |record: &Record| record.missing_since.is_some_and(|s| now >= s + retention);
-        let indexed = self.records.iter().enumerate();
-        let expired = indexed.filter_map(|(index, record)| {
-            let record = record.as_ref().filter(|record| is_expired(record))?;
-            Some(ServerHandle {
-                index: index as u32,
-                generation: record.generation,
-            })
-        });
-        let expired: Vec<ServerHandle> = expired.collect();
-        for handle in expired {
-            self.remove_from_pool(handle);
-            let Some(record) = self.records[handle.index()].take() else {
-                continue;
-            };
-            // Flows may still refer to the former server at this index.
-            self.free_handles.push(ServerHandle {
-                generation: handle.generation.wrapping_add(1),
-                ..handle
-            });
-            self.by_id.remove(&record.server.id);
-            if self.by_tag.get(&record.tag) == Some(&handle) {
-                self.by_tag.remove(&record.tag);
+        while let Some((missing, handle)) = self.missing.front().copied()
+            && now >= missing + self.retention
+        {
+            self.missing.pop_front();
+            let record = self.get_mut(handle);
+            if record.is_some_and(|record| record.missing_since == Some(missing)) {
+                self.forget_server(handle);
             }
         }
     }
 
-    fn add_to_pool(&mut self, handle: ServerHandle, server: &Server) {
-        let is_local = server.zone == self.zone;
-        let pool = self.by_service.entry(server.service.clone()).or_default();
-        pool.list_mut(is_local).push(handle);
+    fn forget_server(&mut self, handle: ServerHandle) {
+        self.remove_from_pool(handle);
+        self.remove_address(handle);
+        self.with_failures.remove(&handle.index);
+        let Some(record) = self.records[handle.index()].take() else {
+            return;
+        };
+        // Flows may still refer to the former server at this index.
+        self.free_handles.push(ServerHandle {
+            generation: handle.generation.wrapping_add(1),
+            ..handle
+        });
+        self.by_id.remove(&record.server.id);
+        if self.by_tag.get(&record.tag) == Some(&handle) {
+            self.by_tag.remove(&record.tag);
+        }
+    }
+
+    fn add_to_pool(&mut self, handle: ServerHandle, service: &id::Service, is_local: bool) {
+        let pool = self.by_service.entry(service.clone()).or_default();
+        let list = pool.list_mut(is_local);
+        list.push(handle);
+        let pool_index = list.len() - 1;
+        if let Some(Some(record)) = self.records.get_mut(handle.index()) {
+            record.pool_index = pool_index;
+        }
     }
 
     fn remove_from_pool(&mut self, handle: ServerHandle) {
-        let Some(record) = self.get(handle) else {
+        let Some(Some(record)) = self.records.get(handle.index()) else {
+            return;
+        };
+        let (pool_index, is_local) = (record.pool_index, record.server.zone == self.zone);
+        let Some(pool) = self.by_service.get_mut(&record.server.service) else {
+            return;
+        };
+        let list = pool.list_mut(is_local);
+        list.swap_remove(pool_index);
+        // The last server of the list has taken the place of the removed one.
+        if let Some(moved) = list.get(pool_index).copied()
+            && let Some(Some(record)) = self.records.get_mut(moved.index())
+        {
+            record.pool_index = pool_index;
+        }
+    }
+
+    fn add_address(&mut self, handle: ServerHandle, address: SocketAddrV4) {
+        self.by_address
+            .entry(address)
+            .or_default()
+            .push(handle.index);
+    }
+
+    fn remove_address(&mut self, handle: ServerHandle) {
+        let Some(address) = self.get(handle).map(|record| record.server.address) else {
             return;
         };
-        let service = record.server.service.clone();
-        let is_local = record.server.zone == self.zone;
-        if let Some(pool) = self.by_service.get_mut(&service) {
-            pool.list_mut(is_local).retain(|other| *other != handle);
+        if let Some(indexes) = self.by_address.get_mut(&address) {
+            indexes.retain(|index| *index != handle.index);
+            if indexes.is_empty() {
+                self.by_address.remove(&address);
+            }
         }
     }
 
@@ -604,8 +497,7 @@
 
     /// Number of servers that are listed in the store now.
     pub fn listed_count(&self) -> usize {
-        let is_listed = |record: &&Record| record.missing_since.is_none();
-        self.records().filter(is_listed).count()
+        self.listed
     }
 
     /// Sum of the flows and requests counted at all servers.
@@ -624,7 +516,8 @@
 
     /// The outcomes that this instance counted for suspicious servers, the worst first.
     pub(crate) fn server_outcomes(&self, now: Instant) -> Vec<ServerOutcomes> {
-        let reports = self.records().filter_map(|record| {
+        let reports = self.with_failures.iter().filter_map(|index| {
+            let record = self.records.get(*index as usize)?.as_ref()?;
             Some(ServerOutcomes {
                 serial: record.server.serial,
                 incarnation: record.server.incarnation,
@@ -641,21 +534,47 @@
     pub(crate) fn apply_zone_outcomes(&mut self, now: Instant, reports: &[ServerOutcomes]) {
         for report in reports {
             let handle = self.by_tag(Tag::of(report.serial));
-            let Some(record) = handle.and_then(|handle| self.get_mut(handle)) else {
+            let Some(handle) = handle else {
+                continue;
+            };
+            let Some(record) = self.get_mut(handle) else {
                 continue;
             };
             let server = &record.server;
             if (server.serial, server.incarnation) == (report.serial, report.incarnation) {
                 record.outcomes.set_zone_counts(now, report.counts);
+                self.with_failures.insert(handle.index);
             }
         }
         self.update_penalties(now);
     }
 
-    /// Updates all penalties, because the counts decay over time.
+    /// Updates the penalties, because the counts decay over time.
     pub(crate) fn update_penalties(&mut self, now: Instant) {
-        for record in self.records.iter_mut().flatten() {
+        let records = &mut self.records;
+        self.with_failures.retain(|index| {
+            let Some(Some(record)) = records.get_mut(*index as usize) else {
+                return false;
+            };
             record.update_penalty(now);
+            record.outcomes.has_failures(now)
+        });
+    }
+
+    /// Counts a request that failed, or was answered, at a server.
+    pub(crate) fn count_outcome(
+        &mut self,
+        handle: ServerHandle,
+        now: Instant,
+        count: impl FnOnce(&mut RequestOutcomes),
+    ) {
+        let Some(record) = self.get_mut(handle) else {
+            return;
+        };
+        count(&mut record.outcomes);
+        record.update_penalty(now);
+        if record.outcomes.has_failures(now) {
+            self.with_failures.insert(handle.index);
         }
     }
 
@@ -687,24 +606,3 @@
         self.records.iter().flatten()
     }
 }
-
-/// New flows that this instance may open at a server per second while it is cold.
-fn quota_limit(
-    own_instance: &id::Instance,
-    peers: &[Peer],
-    warmups: &HashMap<id::Service, Warmup>,
-    server: &Server,
-) -> Option<usize> {
-    let warmup = warmups.get(&server.service);
-    let rate = warmup
-        .map(|warmup| warmup.rate)
-        .filter(|rate| *rate > 0.0)?;
-    Some(warmup::cold_flow_quota(own_instance, peers, server, rate))
-}
-
-fn draining_since(server: &Server, before: Option<Instant>, now: Instant) -> Option<Instant> {
-    match server.state {
-        ServerState::Ready => None,
-        ServerState::Draining => before.or(Some(now)),
-    }
-}
--- a/src/flow/outcome.rs
+++ b/src/flow/outcome.rs
@@ -161,9 +161,12 @@
     /// reported too: one stall seen by one instance weighs little beside forty answers that
     /// the others got.
     pub(crate) fn reported_counts(&self, now: Instant) -> Option<OutcomeCounts> {
-        let own = self.own(now);
+        self.has_failures(now).then(|| self.own(now))
+    }
+
+    /// Whether this instance or another one counted failures that have not decayed.
+    pub(crate) fn has_failures(&self, now: Instant) -> bool {
         let has_failures = |decaying: DecayingCounts| !decaying.at(now).is_clean();
-        let is_reported = !own.is_clean() || self.zone.is_some_and(has_failures);
-        is_reported.then_some(own)
+        self.own.is_some_and(has_failures) || self.zone.is_some_and(has_failures)
     }
 }
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -32,8 +32,8 @@
 use crate::flow::choice;
 use crate::flow::choice::Choice;
 use crate::flow::choice::Criteria;
-use crate::flow::directory::ServerHandle;
 use crate::flow::plane::requests::PendingRequest;
+use crate::flow::record::ServerHandle;
 use crate::flow::table::Flow;
 use crate::flow::table::Opening;
 use crate::flow::table::Table;
@@ -242,7 +242,7 @@
         }
         let is_local = |peer: &&Peer| peer.zone == self.options.zone;
         self.zone_instances = peers.iter().filter(is_local).count();
-        self.directory.set_peers(peers);
+        self.directory.set_peers(&peers);
     }
 
     /// Sets the load margin for servers in other zones.
--- a/src/flow/plane/accounting.rs
+++ b/src/flow/plane/accounting.rs
@@ -6,7 +6,7 @@
 
 use crate::flow::DataPlane;
 use crate::flow::FlowEvent;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::ServerHandle;
 use crate::flow::table::ExpiryRules;
 use crate::flow::table::Flow;
 use crate::flow::table::FlowHandle;
--- a/src/flow/plane/established.rs
+++ b/src/flow/plane/established.rs
@@ -10,7 +10,7 @@
 use crate::flow::Segment;
 use crate::flow::Timing;
 use crate::flow::Verdict;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::ServerHandle;
 use crate::flow::table::Flow;
 use crate::flow::table::FlowHandle;
 use crate::flow::table::Phase;
--- a/src/flow/plane/handshake.rs
+++ b/src/flow/plane/handshake.rs
@@ -12,7 +12,7 @@
 use crate::flow::Resend;
 use crate::flow::Target;
 use crate::flow::Verdict;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::ServerHandle;
 use crate::flow::table::Flow;
 use crate::flow::table::FlowHandle;
 use crate::flow::table::Phase;
--- a/src/flow/plane/requests.rs
+++ b/src/flow/plane/requests.rs
@@ -5,7 +5,7 @@
 use crate::flow::DataPlane;
 use crate::flow::FlowEvent;
 use crate::flow::FlowKey;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::ServerHandle;
 use crate::flow::table::Answer;
 
 /// A request in progress and its deadline.
@@ -59,10 +59,10 @@
             return;
         };
         let is_premature = baseline.sample(answer.response_time, answer.bytes);
-        if let Some(record) = self.directory.get_mut(server_handle) {
-            record.outcomes.answered(now, is_premature);
-            record.update_penalty(now);
-        }
+        self.directory
+            .count_outcome(server_handle, now, |outcomes| {
+                outcomes.answered(now, is_premature);
+            });
     }
 
     /// Counts the requests whose deadline has passed.
@@ -86,11 +86,11 @@
             else {
                 continue;
             };
+            self.directory
+                .count_outcome(server, now, |outcomes| outcomes.stalled(now));
             let Some(record) = self.directory.get_mut(server) else {
                 continue;
             };
-            record.outcomes.stalled(now);
-            record.update_penalty(now);
             let event = FlowEvent::Stalled {
                 flow_key: request.flow_key,
                 server: record.server.id.clone(),
--- /dev/null
+++ b/src/flow/pool.rs
@@ -0,0 +1,25 @@
+//! The backend servers of one service.
+
+use crate::flow::baseline::ResponseBaseline;
+use crate::flow::record::ServerHandle;
+
+/// The servers of one service.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    /// Servers in this instance's availability zone.
+    pub(crate) local: Vec<ServerHandle>,
+    /// Servers in other zones.
+    pub(crate) remote: Vec<ServerHandle>,
+    /// Typical duration and size of the service's answers.
+    pub(crate) baseline: ResponseBaseline,
+}
+
+impl Pool {
+    pub(super) fn list_mut(&mut self, is_local: bool) -> &mut Vec<ServerHandle> {
+        if is_local {
+            &mut self.local
+        } else {
+            &mut self.remote
+        }
+    }
+}
--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -10,7 +10,7 @@
 
 use crate::flow::FlowKey;
 use crate::flow::Segment;
-use crate::flow::directory::ServerHandle;
+use crate::flow::record::ServerHandle;
 use crate::flow::segment::is_after;
 
 /// A handshake in progress.
--- a/src/flow/warmup.rs
+++ b/src/flow/warmup.rs
@@ -41,60 +41,79 @@
     pub rate: f64,
 }
 
-/// This instance's quota of new flows for a cold server.
+/// When recent new flows were opened at a cold server whose rate is limited.
 #[derive(Debug, Default)]
-pub(crate) struct ColdQuota {
-    /// New flows per window; `None` for no limit.
-    limit: Option<usize>,
-    /// When recent flows were opened.
-    recent: VecDeque<Instant>,
+pub(crate) struct RecentFlows {
+    times: VecDeque<Instant>,
 }
 
-impl ColdQuota {
-    pub(crate) fn set(&mut self, limit: Option<usize>) {
-        self.limit = limit;
+impl RecentFlows {
+    /// Number of flows in the window that ends now.
+    pub(crate) fn count(&self, now: Instant) -> usize {
+        let in_window = self.times.iter().filter(|at| now < **at + QUOTA_WINDOW);
+        in_window.count()
     }
 
-    /// Whether the window that ends now has room for another flow.
-    pub(crate) fn has_room(&self, now: Instant) -> bool {
-        let Some(limit) = self.limit else {
-            return true;
-        };
-        let in_window = self.recent.iter().filter(|at| now < **at + QUOTA_WINDOW);
-        in_window.count() < limit
-    }
-
-    pub(crate) fn count_flow(&mut self, now: Instant) {
-        if self.limit.is_none() {
-            return;
-        }
+    pub(crate) fn add(&mut self, now: Instant) {
         while self
-            .recent
+            .times
             .front()
             .is_some_and(|at| now >= *at + QUOTA_WINDOW)
         {
-            self.recent.pop_front();
+            self.times.pop_front();
         }
-        self.recent.push_back(now);
+        self.times.push_back(now);
     }
 }
 
-/// New flows per second that one instance may open at a cold server.
+/// The instances that share the callers, by hash, and this one's place among them.
 ///
-/// The quotas of all instances add up to the rate, rounded down, or to one. All zones have
-/// equal quotas, because a service may have servers in one zone only.
-pub fn cold_flow_quota(me: &id::Instance, peers: &[Peer], server: &Server, rate: f64) -> usize {
-    let total = (rate as usize).max(1);
-    let own_hash = rank_hash(me, server);
-    let hashes = peers.iter().map(|peer| rank_hash(&peer.instance, server));
-    let rank = hashes.filter(|other| *other < own_hash).count();
-    let count = peers.len().max(1);
-    total / count + usize::from(rank < total % count)
+/// For each incarnation of a server, the ring begins at another hash, and the instances
+/// rank in the order that follows. One instance more or less moves only the ranks behind
+/// it.
+#[derive(Clone, Debug)]
+pub struct PeerRing {
+    /// Hashes of all instances, in ascending order.
+    hashes: Vec<u64>,
+    /// Hash of this instance.
+    own: u64,
+}
+
+impl PeerRing {
+    /// The ring of these instances. This one is counted even if it is not listed.
+    pub fn new(me: &id::Instance, peers: &[Peer]) -> Self {
+        let own = hash(me);
+        let others = peers.iter().filter(|peer| peer.instance != *me);
+        let mut hashes: Vec<u64> = others.map(|peer| hash(&peer.instance)).collect();
+        hashes.push(own);
+        hashes.sort_unstable();
+        Self { hashes, own }
+    }
+
+    /// New flows per second that this instance may open at a cold server.
+    ///
+    /// The quotas of all instances add up to the rate, rounded down, or to one. All zones
+    /// have equal quotas, because a service may have servers in one zone only.
+    pub fn cold_flow_quota(&self, server: &Server, rate: f64) -> usize {
+        let total = (rate as usize).max(1);
+        let count = self.hashes.len();
+        total / count + usize::from(self.rank(server) < total % count)
+    }
+
+    /// Number of instances between the server's hash and this instance.
+    fn rank(&self, server: &Server) -> usize {
+        let begin = hash(&(server.serial, server.incarnation));
+        let place = |hash: u64| self.hashes.partition_point(|other| *other < hash);
+        let (begin, own) = (place(begin), place(self.own));
+        match own.checked_sub(begin) {
+            Some(rank) => rank,
+            None => self.hashes.len() - begin + own,
+        }
+    }
 }
 
-/// Hash by which the instances are ranked for one incarnation of a server.
-fn rank_hash(instance: &id::Instance, server: &Server) -> u64 {
+fn hash(value: &impl Hash) -> u64 {
     let mut hasher = SipHasher13::new();
-    (instance, server.serial, server.incarnation).hash(&mut hasher);
+    value.hash(&mut hasher);
     hasher.finish()
 }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -11,6 +11,7 @@
 mod incarnation;
 mod neighbours;
 mod opening;
+mod scale;
 mod sequence;
 mod start;
 mod support;
--- a/tests/flow/warmup.rs
+++ b/tests/flow/warmup.rs
@@ -8,13 +8,13 @@
 use godwitreel::flow::DropReason;
 use godwitreel::flow::Options;
 use godwitreel::flow::Peer;
+use godwitreel::flow::PeerRing;
 use godwitreel::flow::Routes;
 use godwitreel::flow::Server;
 use godwitreel::flow::StateUpdate;
 use godwitreel::flow::StoreContact;
 use godwitreel::flow::Verdict;
 use godwitreel::flow::Warmup;
-use godwitreel::flow::cold_flow_quota;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -183,7 +183,7 @@
     fn shares_add_up_to_the_rate(count in 1..1_200usize, rate in 0.1..500.0f64, number in 1..250u8) {
         let peers = peers(count);
         let server = cold(number, LOCAL);
-        let shares = peers.iter().map(|me| cold_flow_quota(&me.instance, &peers, &server, rate));
+        let shares = peers.iter().map(|me| PeerRing::new(&me.instance, &peers).cold_flow_quota(&server, rate));
         prop_assert_eq!(shares.sum::<usize>(), (rate as usize).max(1));
     }
 
@@ -201,7 +201,7 @@
         let total: usize = peers.iter().enumerate().map(|(number, me)| {
             let has_heard = known[number] % 2 == 0;
             let list = if has_heard { &peers[..] } else { &peers[..joined.max(number + 1)] };
-            cold_flow_quota(&me.instance, list, &server, rate)
+            PeerRing::new(&me.instance, list).cold_flow_quota(&server, rate)
         }).sum();
         prop_assert!(total as f64 <= rate * 1.5 + 5.0, "{} of {}", total, rate);
     }
