Removed keys are kept in proportion to the copy

Cause: 512 deletions were kept. When more servers left at once, as a zone of 1,300 does, each subscriber got a complete copy: half a megabyte for a thousand instances.

Ruled out: a larger number (a larger fleet exceeds it), a time (a slow link takes longer). Removed rows are shorter than present ones, so that as many of them as there are keys are always less than a complete copy.

--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -39,10 +39,14 @@
 use crate::replica::publish::HEARTBEAT_INTERVAL;
 use crate::replica::register;
 
-/// Maximum number of deleted keys that are kept. A subscriber that lacks an earlier
-/// deletion is sent a complete copy. The limit is twice the number of servers that the
-/// largest planned deployment replaces in a minute.
-const MAX_DELETIONS: usize = 512;
+/// Number of deleted keys that are kept in a small copy. A subscriber that lacks an
+/// earlier deletion is sent a complete copy.
+///
+/// Load pattern: a zone of 1,300 servers is taken away, or all servers are replaced in a
+/// minute. Above this number, as many deletions are kept as there are keys: a row of a
+/// deletion is shorter than that of a key, so that they are always less than the complete
+/// copy that they save, at any size of the fleet.
+const MIN_KEPT_DELETIONS: usize = 512;
 
 /// Maximum number of addresses kept of instances that have a copy: enough that some of
 /// them are alive, and few enough to ask all of them at once for a copy.
@@ -199,7 +203,9 @@
             let revision = previous.change.mod_revision();
             self.deletions.remove(&(previous.sequence, revision));
         }
-        if self.deletions.len() > MAX_DELETIONS {
+        // The deletions that are kept are among the keys.
+        let present = self.keys.len() - self.deletions.len();
+        if self.deletions.len() > present.max(MIN_KEPT_DELETIONS) {
             self.prune_oldest_deletion();
         }
     }
--- a/tests/replication/rows.rs
+++ b/tests/replication/rows.rs
@@ -4,9 +4,14 @@
 //! all servers register again within a second. The first instance of a zone forwards
 //! their entries to 16 others over a slow link, while servers drain.
 
+use bytes::Bytes;
 use godwitreel::platform::Change;
+use godwitreel::platform::Entry;
+use godwitreel::replica::BaseValue;
+use godwitreel::replica::Outbox;
 use godwitreel::replica::PackedRows;
 use godwitreel::replica::StoreCopy;
+use godwitreel::replica::SubscribeRequest;
 use godwitreel::replica::UpstreamMessage;
 use proptest::prelude::*;
 use prost::Message;
@@ -210,3 +215,53 @@
         prop_assert_eq!(copy.synced_revision(), store.synced_revision());
     }
 }
+
+/// Bytes that a subscriber in contact is sent when an eighth of this many servers leave at
+/// once, per server that leaves, and whether it gets a complete copy.
+fn sent_for_leaving_servers(servers: usize) -> (f64, bool) {
+    let entry = |number: usize| Entry {
+        key: format!("servers/i-{number:06}"),
+        value: Bytes::from(vec![b'x'; 150]),
+        mod_revision: number as u64 + 1,
+    };
+    let entries: Vec<Entry> = (0..servers).map(entry).collect();
+    let revision = servers as u64;
+    let mut copy = StoreCopy::default();
+    copy.reset(&entries, revision);
+    let request = SubscribeRequest {
+        synced_revision: Some(revision),
+        ..SubscribeRequest::default()
+    };
+    let mut outbox = Outbox::new(&request, Vec::new());
+    let pack = |value: &BaseValue, _: Option<&BaseValue>| Ok(value.value.clone());
+    outbox.compose(&copy, Some(0), &pack, |_| true).unwrap();
+    let leaving = servers / 8;
+    let deletions = entries.into_iter().take(leaving).enumerate();
+    let deletions = deletions.map(|(number, entry)| Change::Delete {
+        key: entry.key,
+        mod_revision: revision + number as u64 + 1,
+    });
+    copy.apply(deletions.collect(), revision + leaving as u64);
+    let (mut bytes, mut is_complete_copy) = (0, false);
+    loop {
+        let message = outbox.compose(&copy, Some(0), &pack, |_| true).unwrap();
+        bytes += prost::Message::encoded_len(&message);
+        is_complete_copy |= message.part.is_some();
+        if !message.has_more && !outbox.has_parts() {
+            return (bytes as f64 / leaving as f64, is_complete_copy);
+        }
+    }
+}
+
+// Guards against a complete copy for each of a thousand instances when a zone's servers
+// are taken away, which no small fleet shows.
+#[test]
+fn servers_that_leave_at_once_are_sent_as_rows_at_any_size() {
+    let (small, is_complete_copy) = sent_for_leaving_servers(1_000);
+    assert!(!is_complete_copy);
+    for servers in [10_000, 20_000] {
+        let (bytes, is_complete_copy) = sent_for_leaving_servers(servers);
+        assert!(!is_complete_copy, "{servers} servers");
+        assert!(bytes < 1.2 * small, "{bytes} after {small} bytes a server");
+    }
+}
