A present copy is compressed once for all who start

Cause: an instance that has a copy compressed all of it for each one that starts, as members register meanwhile and no two copies are the same. With 10,000 servers that is 30 ms of a core each, during which it forwards nothing.

Change: what is passed on while a copy comes in is also made from a present copy, kept for 5 s and followed by the changes since. Who has begun to receive a copy gets the rest of it however slow its link is. A zone without a roster, which starts for the first time, waits half a second for a reading.

Tests: replication::copy_log; all of platform/tests passed.

--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time;
 use tokio::time::Instant;
 
 use crate::flow::StoreContact;
@@ -31,6 +32,7 @@
 use crate::platform::poll::UnreadableEntry;
 use crate::replica::CopyLog;
 use crate::replica::Member;
+use crate::replica::copy_log::KEEP_TIME;
 use crate::replica::message::HeldValue;
 use crate::replica::outcome::OutcomeAggregator;
 use crate::replica::pacer::Pacer;
@@ -315,7 +317,7 @@
     is_on_fallback: AtomicBool,
     is_stopping: AtomicBool,
     is_withdrawn: AtomicBool,
-    /// The first copy while it comes in.
+    /// The copy for those who start: the first one while it comes in, or a recent one.
     pub(crate) log: Arc<CopyLog>,
     /// Values compressed for subscribers, once for all of them.
     pub(crate) pack_cache: PackCache,
@@ -342,6 +344,15 @@
         }
     }
 
+    /// Drops the copy for those who start once it is outdated.
+    pub(crate) fn drop_log_later(&self) {
+        let log = Arc::clone(&self.log);
+        tokio::spawn(async move {
+            time::sleep(KEEP_TIME).await;
+            log.expire(Instant::now());
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/replica/copy_log.rs
+++ b/src/replica/copy_log.rs
@@ -41,7 +41,8 @@
 /// a slow machine to unpack in a millisecond.
 const ROWS_PER_FRAME: usize = 128;
 
-/// Time for which a complete copy is kept. Later subscribers get the current copy.
+/// Time for which a complete copy is kept. Subscribers get it with the changes since; for
+/// later ones, a new copy is compressed.
 pub(crate) const KEEP_TIME: Duration = Duration::from_secs(5);
 
 /// Bytes of a frame's length.
@@ -190,52 +191,69 @@
     at: Instant,
 }
 
-/// The bytes of a copy so far.
+/// A copy so far.
 #[derive(Debug)]
 struct Log {
     id: u64,
-    bytes: Vec<u8>,
-    end: Option<CopyEnd>,
     /// When the store was asked for this copy: everything written before is included.
     contact: Instant,
+    state: Mutex<LogState>,
+}
+
+#[derive(Debug, Default)]
+struct LogState {
+    bytes: Vec<u8>,
+    end: Option<CopyEnd>,
     has_writer: bool,
 }
 
+impl Log {
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_outdated(&self, now: Instant) -> bool {
+        let end = self.lock().end;
+        end.is_some_and(|end| now >= end.at + KEEP_TIME)
+    }
+}
+
 /// Position of a subscriber in a copy.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct CopyPosition {
-    /// Id of the copy; `None` before the first part.
-    id: Option<u64>,
+    /// The copy; `None` before the first part. It stays available after newer ones.
+    log: Option<Arc<Log>>,
     offset: usize,
 }
 
 /// What a subscriber is sent next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum NextPart {
-    /// There is no copy that comes in or has just come in.
+    /// There is no copy that comes in or is recent.
     None,
     /// The subscriber has all bytes so far, and more are to come.
     Wait,
     /// The subscriber has all bytes so far, and their source has stopped.
     Stalled,
-    /// The subscriber's copy was replaced by another one.
+    /// Another copy has taken the place of one whose source has stopped.
     Replaced,
     /// The next part.
     Part(CopyPart),
 }
 
-/// The copy that comes in, for its writer and those that it is passed on to.
+/// The copy that comes in or is recent, for its writer and those that it is passed on to.
 ///
-/// Leaf lock: no other lock is taken while it is held.
+/// The lock of the copy's state is taken while the lock of the place of the copy is held,
+/// never the other way round, and no other lock with either.
 #[derive(Debug, Default)]
 pub struct CopyLog {
-    log: Mutex<Option<Log>>,
+    current: Mutex<Option<Arc<Log>>>,
     changed: watch::Sender<()>,
 }
 
 impl CopyLog {
-    fn lock(&self) -> MutexGuard<'_, Option<Log>> {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<Log>>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notified when bytes arrive.
@@ -246,103 +264,104 @@
     /// Begins a copy, or goes on with one whose writer has stopped. Returns `None` while
     /// another copy comes in.
     pub fn begin(self: &Arc<Self>, id: u64, contact: Instant) -> Option<CopyWriter> {
-        let mut state = self.lock();
-        match state.as_mut() {
-            Some(log) if log.has_writer => return None,
-            Some(log) if log.id == id && log.end.is_none() => log.has_writer = true,
-            _ => {
-                *state = Some(Log {
-                    id,
-                    bytes: Vec::new(),
-                    end: None,
-                    contact,
-                    has_writer: true,
-                })
+        let mut current = self.lock();
+        if let Some(log) = current.as_ref() {
+            let mut state = log.lock();
+            if state.has_writer {
+                return None;
+            }
+            if log.id == id && state.end.is_none() {
+                state.has_writer = true;
+                return Some(self.writer(log));
             }
         }
-        Some(CopyWriter {
-            log: Arc::clone(self),
-        })
+        let state = LogState {
+            has_writer: true,
+            ..LogState::default()
+        };
+        let log = Arc::new(Log {
+            id,
+            contact,
+            state: Mutex::new(state),
+        });
+        *current = Some(Arc::clone(&log));
+        Some(self.writer(&log))
+    }
+
+    fn writer(self: &Arc<Self>, log: &Arc<Log>) -> CopyWriter {
+        CopyWriter {
+            place: Arc::clone(self),
+            log: Arc::clone(log),
+        }
     }
 
     /// The next part for a subscriber at this position.
-    pub fn next(&self, position: CopyPosition, now: Instant) -> NextPart {
-        let state = self.lock();
-        let Some(log) = state.as_ref() else {
-            return match position.id {
-                Some(_) => NextPart::Replaced,
-                None => NextPart::None,
-            };
-        };
-        if position.id.is_some_and(|id| id != log.id) {
-            return NextPart::Replaced;
+    pub fn next(&self, position: &mut CopyPosition, now: Instant) -> NextPart {
+        if position.log.is_none() {
+            position.log = self.usable(now);
         }
-        if log.end.is_none() && !log.has_writer && position.id.is_none() {
+        let Some(log) = &position.log else {
             return NextPart::None;
-        }
-        let end = log.bytes.len().min(position.offset + MAX_PART_BYTES);
-        let is_last = log.end.is_some() && end == log.bytes.len();
+        };
+        let is_current = || {
+            let current = self.lock();
+            current
+                .as_ref()
+                .is_some_and(|other| Arc::ptr_eq(other, log))
+        };
+        let state = log.lock();
+        let end = state.bytes.len().min(position.offset + MAX_PART_BYTES);
+        let is_last = state.end.is_some() && end == state.bytes.len();
         if position.offset == end && !is_last {
-            return match log.has_writer {
-                true => NextPart::Wait,
-                false => NextPart::Stalled,
+            let has_writer = state.has_writer;
+            drop(state);
+            return match (has_writer, is_current()) {
+                (true, _) => NextPart::Wait,
+                (false, true) => NextPart::Stalled,
+                (false, false) => NextPart::Replaced,
             };
         }
-        let part = CopyPart {
+        NextPart::Part(CopyPart {
             id: log.id,
             offset: position.offset as u64,
-            bytes: Bytes::copy_from_slice(&log.bytes[position.offset..end]),
+            bytes: Bytes::copy_from_slice(&state.bytes[position.offset..end]),
             is_last,
-            revision: log.end.map_or(0, |end| end.revision),
+            revision: state.end.map_or(0, |end| end.revision),
             age_ms: (now - log.contact).as_millis() as u64,
-        };
-        NextPart::Part(part)
-    }
-
-    /// Drops a complete copy that is no longer passed on.
-    pub fn expire(&self, now: Instant) {
-        let mut state = self.lock();
-        let end = state.as_ref().and_then(|log| log.end);
-        if end.is_some_and(|end| now >= end.at + KEEP_TIME) {
-            *state = None;
-        }
+        })
     }
 
-    fn append(&self, offset: usize, bytes: &[u8]) {
-        let mut state = self.lock();
-        if let Some(log) = state.as_mut() {
-            // A further source of the same copy begins with what is known already.
-            let known = log.bytes.len().saturating_sub(offset).min(bytes.len());
-            log.bytes.extend_from_slice(&bytes[known..]);
-        }
-        drop(state);
-        self.changed.send_replace(());
+    /// The copy for a new subscriber.
+    fn usable(&self, now: Instant) -> Option<Arc<Log>> {
+        let log = self.lock().clone()?;
+        let is_abandoned = {
+            let state = log.lock();
+            state.end.is_none() && !state.has_writer
+        };
+        (!is_abandoned && !log.is_outdated(now)).then_some(log)
     }
 
-    fn finish(&self, revision: u64) {
-        let at = Instant::now();
-        if let Some(log) = self.lock().as_mut() {
-            log.end = Some(CopyEnd { revision, at });
+    /// Drops a complete copy that new subscribers no longer get.
+    pub fn expire(&self, now: Instant) {
+        let mut current = self.lock();
+        if current.as_ref().is_some_and(|log| log.is_outdated(now)) {
+            *current = None;
         }
-        self.changed.send_replace(());
     }
 }
 
 impl CopyPosition {
-    /// The position after a part.
-    #[must_use]
-    pub fn after(part: &CopyPart) -> Self {
-        Self {
-            id: Some(part.id),
-            offset: part.offset as usize + part.bytes.len(),
-        }
+    /// Moves on behind a part that was sent.
+    pub fn advance(&mut self, part: &CopyPart) {
+        self.offset = part.offset as usize + part.bytes.len();
     }
 }
 
-/// The writer of a [`CopyLog`]; when it is dropped, another one may go on.
+/// The writer of a copy; when it is dropped, another one may go on.
 #[derive(Debug)]
 pub struct CopyWriter {
-    log: Arc<CopyLog>,
+    place: Arc<CopyLog>,
+    log: Arc<Log>,
 }
 
 impl CopyWriter {
@@ -353,14 +372,20 @@
     /// Returns an error if the compressor fails.
     pub fn append_entries(&self, entries: &[Entry]) -> io::Result<()> {
         let bytes = encode_frames(entries)?;
-        let offset = self.log.lock().as_ref().map_or(0, |log| log.bytes.len());
-        self.log.append(offset, &bytes);
+        self.log.lock().bytes.extend_from_slice(&bytes);
+        self.place.changed.send_replace(());
         Ok(())
     }
 
     /// Adds a part as it was received.
     pub fn append_part(&self, part: &CopyPart) {
-        self.log.append(part.offset as usize, &part.bytes);
+        let mut state = self.log.lock();
+        // A further source of the same copy begins with what is known already.
+        let known = state.bytes.len().saturating_sub(part.offset as usize);
+        let known = known.min(part.bytes.len());
+        state.bytes.extend_from_slice(&part.bytes[known..]);
+        drop(state);
+        self.place.changed.send_replace(());
         if part.is_last {
             self.finish(part.revision);
         }
@@ -368,15 +393,15 @@
 
     /// Marks the copy as complete up to a revision.
     pub fn finish(&self, revision: u64) {
-        self.log.finish(revision);
+        let at = Instant::now();
+        self.log.lock().end = Some(CopyEnd { revision, at });
+        self.place.changed.send_replace(());
     }
 }
 
 impl Drop for CopyWriter {
     fn drop(&mut self) {
-        if let Some(log) = self.log.lock().as_mut() {
-            log.has_writer = false;
-        }
-        self.log.changed.send_replace(());
+        self.log.lock().has_writer = false;
+        self.place.changed.send_replace(());
     }
 }
--- a/src/replica/first_copy.rs
+++ b/src/replica/first_copy.rs
@@ -30,6 +30,10 @@
 /// share, and a part of the time that each page takes.
 const READ_TIME_PER_KEY: Duration = Duration::from_micros(50);
 
+/// Assumed time of a reading while the number of keys is not known, as in a zone that
+/// starts for the first time.
+const UNKNOWN_READ_TIME: Duration = Duration::from_millis(500);
+
 /// Number of times as many instances that begin to read in the time of one reading while
 /// no source answers: most likely those above are gone.
 const READERS_WITHOUT_ANSWER: f64 = 4.0;
@@ -68,7 +72,11 @@
             _ => {
                 let copy_wait = copy_wait(me, rank, roster, first_wait);
                 let wait = copy_wait + read_time.mul_f64(1.0 + turns / READERS_WITHOUT_ANSWER);
-                (wait, wait + read_time.mul_f64(turns))
+                let expected = match roster.keys {
+                    0 => UNKNOWN_READ_TIME,
+                    _ => read_time,
+                };
+                (wait, wait + expected.mul_f64(turns))
             }
         };
         Self {
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -28,7 +28,6 @@
 use crate::replica::FirstCopyPlan;
 use crate::replica::Member;
 use crate::replica::Roster;
-use crate::replica::copy_log::KEEP_TIME;
 use crate::replica::first_copy::ASK_INTERVAL;
 use crate::replica::follow::FollowEnd;
 use crate::replica::follow::Follower;
@@ -73,7 +72,7 @@
             match plan {
                 Ok(plan) => {
                     self.fetch_copy_by(plan).await?;
-                    self.drop_copy_log_later();
+                    self.shared.drop_log_later();
                     return Ok(());
                 }
                 Err(FollowEnd::Failed(error)) => self.record_failure(&error).await?,
@@ -86,15 +85,6 @@
         }
     }
 
-    /// Drops the bytes of the first copy once nobody is expected to need them.
-    fn drop_copy_log_later(&self) {
-        let log = Arc::clone(&self.shared.log);
-        tokio::spawn(async move {
-            time::sleep(KEEP_TIME).await;
-            log.expire(Instant::now());
-        });
-    }
-
     fn search(&self) -> CopySearch {
         CopySearch {
             me: self.sources.me.clone(),
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -1,5 +1,6 @@
 //! Serves subscribers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::replica::CopyPosition;
 use crate::replica::NextPart;
 use crate::replica::SharedCopy;
+use crate::replica::StoreCopy;
 use crate::replica::message;
 use crate::replica::message::SubscribeRequest;
 use crate::replica::message::UpstreamMessage;
@@ -136,7 +138,8 @@
     remember_copy_holder(subscribe, shared, log);
     let mut subscribe = subscribe.clone();
     if subscribe.accepts_copy_parts {
-        subscribe.synced_revision = pass_on_copy(framed, peer, shared).await?;
+        let revision = pass_on_copy(framed, peer, shared).await?;
+        subscribe.synced_revision = Some(revision);
     }
     let subscriber = shared.outcomes.add_subscriber();
     let mut outbox = Outbox::new(&subscribe, shared.known_bases(&subscribe.held));
@@ -167,13 +170,27 @@
     }
 }
 
-/// Passes on a copy that comes in, or waits until this instance has one. Returns the
-/// revision up to which the subscriber then has everything.
-async fn pass_on_copy(
-    framed: &mut Stream,
-    peer: SocketAddr,
-    shared: &SharedCopy,
-) -> Result<Option<u64>> {
+/// Compresses the present copy for all who start within the next seconds.
+///
+/// Load pattern: half of a fleet is killed and starts again, and dozens of instances ask
+/// those that are left for a copy. Members register meanwhile, so that the copies for no
+/// two of them would be the same.
+fn fill_copy_log(shared: &SharedCopy) -> io::Result<()> {
+    let snapshot = shared.with_copy(StoreCopy::snapshot);
+    let (Some(snapshot), Some(contact)) = (snapshot, shared.contact()) else {
+        return Ok(());
+    };
+    if let Some(writer) = shared.log.begin(rand::random(), contact) {
+        writer.append_entries(&snapshot.entries)?;
+        writer.finish(snapshot.revision);
+        shared.drop_log_later();
+    }
+    Ok(())
+}
+
+/// Passes on a copy that comes in, or the one that this instance has. Returns the revision
+/// up to which the subscriber then has everything.
+async fn pass_on_copy(framed: &mut Stream, peer: SocketAddr, shared: &SharedCopy) -> Result<u64> {
     let (mut parts, mut changes) = (shared.log.watch(), shared.watch());
     let mut position = CopyPosition::default();
     let mut next_heartbeat = Instant::now();
@@ -182,10 +199,14 @@
         changes.mark_unchanged();
         let now = Instant::now();
         let has_copy = shared.synced_revision().is_some();
-        let next = shared.log.next(position, now);
+        let mut next = shared.log.next(&mut position, now);
+        if has_copy && next == NextPart::None {
+            let filled = fill_copy_log(shared);
+            filled.map_err(|error| subscriber_error(PASS_ON, peer, error))?;
+            next = shared.log.next(&mut position, now);
+        }
         let has_part = matches!(next, NextPart::Part(_));
         match next {
-            NextPart::None if has_copy => return Ok(None),
             NextPart::Replaced => {
                 return Err(subscriber_error(PASS_ON, peer, "another copy began"));
             }
@@ -193,11 +214,11 @@
                 return Err(subscriber_error(PASS_ON, peer, "the copy does not go on"));
             }
             NextPart::Part(part) if shared.pacer.may_send(part.bytes.len(), now) => {
-                position = CopyPosition::after(&part);
+                position.advance(&part);
                 let end = part.is_last.then_some(part.revision);
                 send(framed, peer, &copy_message(part)).await?;
-                if end.is_some() {
-                    return Ok(end);
+                if let Some(revision) = end {
+                    return Ok(revision);
                 }
                 next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
                 continue;
--- a/tests/replication/copy_log.rs
+++ b/tests/replication/copy_log.rs
@@ -39,9 +39,9 @@
 fn take_parts(log: &CopyLog, position: &mut CopyPosition) -> (Vec<CopyPart>, NextPart) {
     let mut parts = Vec::new();
     loop {
-        match log.next(*position, Instant::now()) {
+        match log.next(position, Instant::now()) {
             NextPart::Part(part) => {
-                *position = CopyPosition::after(&part);
+                position.advance(&part);
                 let is_last = part.is_last;
                 parts.push(part);
                 if is_last {
@@ -98,7 +98,7 @@
     assert_eq!(take_parts(&log, &mut position).1, NextPart::Wait);
     drop(writer);
     assert_eq!(take_parts(&log, &mut position).1, NextPart::Stalled);
-    let newcomer = log.next(CopyPosition::default(), Instant::now());
+    let newcomer = log.next(&mut CopyPosition::default(), Instant::now());
     assert_eq!(newcomer, NextPart::None);
     let writer = log.begin(2, Instant::now()).unwrap();
     writer.append_entries(&entries(10)).unwrap();
@@ -138,12 +138,16 @@
     writer.finish(3);
     drop(writer);
     log.expire(Instant::now());
-    let first = log.next(CopyPosition::default(), Instant::now());
+    let mut early = CopyPosition::default();
+    let first = log.next(&mut early, Instant::now());
     assert!(matches!(first, NextPart::Part(_)));
     tokio::time::advance(Duration::from_secs(6)).await;
     log.expire(Instant::now());
-    let first = log.next(CopyPosition::default(), Instant::now());
+    let first = log.next(&mut CopyPosition::default(), Instant::now());
     assert_eq!(first, NextPart::None);
+    // Who has begun to receive it, over a slow link, gets the rest.
+    let rest = log.next(&mut early, Instant::now());
+    assert!(matches!(rest, NextPart::Part(_)));
 }
 
 fn part(id: u64, offset: u64, bytes: &[u8], is_last: bool) -> CopyPart {
