Changes since follow a copy that is passed on again

Cause: the compressed copy of an instance's own start completed the copies of those who started seconds later, although the instance knew newer changes.

Change: only an instance that has nothing newer lets a copy's last part complete it. Test `a_copy_that_is_passed_on_again_has_the_changes_since` failed before.

`small_deployment` of upgrade.rs waits for the zones' rosters: the first instances of the zones write them one second after the start, at the same moment as the tests' change, which then waited out the pause after a poll with changes and was lost in the outage 0.3 s later. No check is changed.

--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -216,7 +216,7 @@
             NextPart::Part(part) if shared.pacer.may_send(part.bytes.len(), now) => {
                 position.advance(&part);
                 let end = part.is_last.then_some(part.revision);
-                send(framed, peer, &copy_message(part)).await?;
+                send(framed, peer, &copy_message(part, has_copy)).await?;
                 if let Some(revision) = end {
                     return Ok(revision);
                 }
@@ -239,9 +239,10 @@
     }
 }
 
-/// A part of a copy. The last one of a copy that is still fresh completes it.
-fn copy_message(part: CopyPart) -> UpstreamMessage {
-    let is_complete = part.is_last && part.age_ms < MAX_FRESH_AGE_MS;
+/// A part of a copy. Its last part completes it while this instance knows nothing newer;
+/// otherwise the changes since follow.
+fn copy_message(part: CopyPart, has_copy: bool) -> UpstreamMessage {
+    let is_complete = part.is_last && !has_copy && part.age_ms < MAX_FRESH_AGE_MS;
     UpstreamMessage {
         age_ms: is_complete.then_some(part.age_ms),
         copy_part: Some(part),
