--- a/src/replica.rs
+++ b/src/replica.rs
@@ -7,10 +7,14 @@
 //! heartbeat carries the age of the last contact with the store, so that an instance
 //! whose upstream is cut off, frozen or gone notices in time and polls the store itself.
 //!
-//! An instance that starts gets its first copy from the heads of its zone. These are
-//! the first three by rank, which also replace an upstream that is cut off. A
-//! subscriber that had to follow an instance higher up the tree moves back down once
-//! its intended upstream can be reached.
+//! An instance that starts reads its zone's roster, which names the instances that rank
+//! first, and gets its first copy from one of these. Only the heads of the zone, which
+//! are the first three by rank, read the store at once; they also replace an upstream
+//! that is cut off. A subscriber that had to follow an instance higher up the tree moves
+//! back down once its intended upstream can be reached.
+//!
+//! A copy is passed on while it still comes in, so that the levels of the tree receive it
+//! at about the same time.
 //!
 //! Subscribers are sent the newest change of each key: small values at once in messages
 //! of bounded size, large values in parts and compressed against the version that the
@@ -24,6 +28,8 @@
 mod backlog;
 mod bandwidth;
 mod copy;
+mod copy_log;
+mod first_copy;
 mod follow;
 mod handover;
 mod liveness;
@@ -34,6 +40,7 @@
 mod pack;
 mod publish;
 mod register;
+mod roster;
 mod store;
 mod subscribe;
 mod tree;
@@ -57,8 +64,17 @@
 pub use copy::Snapshot;
 pub use copy::StoreCopy;
 pub use copy::Update;
+pub use copy_log::CopyDecoder;
+pub use copy_log::CopyLog;
+pub use copy_log::CopyLogError;
+pub use copy_log::CopyPosition;
+pub use copy_log::CopyWriter;
+pub use copy_log::NextPart;
+pub use copy_log::encode_frames;
+pub use first_copy::FirstCopyPlan;
 pub use liveness::FleetLiveness;
 pub use liveness::ZoneLiveness;
+pub use message::CopyPart;
 pub use message::HeldValue;
 pub use message::PackedRows;
 pub use message::Row;
@@ -76,6 +92,7 @@
 pub use pack::pack;
 pub use pack::unpack;
 pub use register::Member;
+pub use roster::Roster;
 pub use store::KeyLayout;
 pub use store::PollTiming;
 pub use tree::candidates;
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time;
 use tokio::time::Instant;
 
 use crate::flow::StoreContact;
@@ -29,7 +30,9 @@
 use crate::platform::Change;
 use crate::platform::Entry;
 use crate::platform::poll::UnreadableEntry;
+use crate::replica::CopyLog;
 use crate::replica::Member;
+use crate::replica::copy_log::KEEP_TIME;
 use crate::replica::message::HeldValue;
 use crate::replica::outcome::OutcomeAggregator;
 use crate::replica::pacer::Pacer;
@@ -38,10 +41,14 @@
 use crate::replica::publish::HEARTBEAT_INTERVAL;
 use crate::replica::register;
 
-/// Maximum number of deleted keys that are kept. A subscriber that lacks an earlier
-/// deletion is sent a complete copy. The limit is twice the number of servers that the
-/// largest planned deployment replaces in a minute.
-const MAX_DELETIONS: usize = 512;
+/// Number of deleted keys that are kept in a small copy. A subscriber that lacks an
+/// earlier deletion is sent a complete copy.
+///
+/// Load pattern: a zone of 1,300 servers is taken away, or all servers are replaced in a
+/// minute. Above this number, as many deletions are kept as there are keys: a row of a
+/// deletion is shorter than that of a key, so that they are always less than the complete
+/// copy that they save, at any size of the fleet.
+const MIN_KEPT_DELETIONS: usize = 512;
 
 /// Maximum number of addresses kept of instances that have a copy: enough that some of
 /// them are alive, and few enough to ask all of them at once for a copy.
@@ -59,6 +66,11 @@
         /// Revision of the store.
         revision: u64,
     },
+    /// Some of the keys, while the first copy comes in. A reset with all keys follows.
+    Part {
+        /// These keys.
+        entries: Vec<Entry>,
+    },
     /// One key changed.
     Change(Change),
     /// A key whose new value could not be read.
@@ -193,7 +205,9 @@
             let revision = previous.change.mod_revision();
             self.deletions.remove(&(previous.sequence, revision));
         }
-        if self.deletions.len() > MAX_DELETIONS {
+        // The deletions that are kept are among the keys.
+        let present = self.keys.len() - self.deletions.len();
+        if self.deletions.len() > present.max(MIN_KEPT_DELETIONS) {
             self.prune_oldest_deletion();
         }
     }
@@ -257,6 +271,11 @@
         }
     }
 
+    /// Number of keys, including the deletions that are kept.
+    pub(crate) fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
     /// All entries, ordered by key.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.keys
@@ -298,6 +317,8 @@
     is_on_fallback: AtomicBool,
     is_stopping: AtomicBool,
     is_withdrawn: AtomicBool,
+    /// The copy for those who start: the first one while it comes in, or a recent one.
+    pub(crate) log: Arc<CopyLog>,
     /// Values compressed for subscribers, once for all of them.
     pub(crate) pack_cache: PackCache,
     /// Limits the bytes per second sent to all subscribers together.
@@ -316,12 +337,22 @@
             is_on_fallback: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             is_withdrawn: AtomicBool::new(false),
+            log: Arc::default(),
             pack_cache: PackCache::default(),
             pacer,
             outcomes: OutcomeAggregator::default(),
         }
     }
 
+    /// Drops the copy for those who start once it is outdated.
+    pub(crate) fn drop_log_later(&self) {
+        let log = Arc::clone(&self.log);
+        tokio::spawn(async move {
+            time::sleep(KEEP_TIME).await;
+            log.expire(Instant::now());
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/replica/follow/search.rs
+++ b/src/replica/follow/search.rs
@@ -13,18 +13,31 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::Logger;
 use slog::info;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
 
 use crate::pacing::BackoffBounds;
+use crate::platform::Change;
+use crate::platform::Entry;
+use crate::replica::CopyDecoder;
+use crate::replica::CopyLog;
+use crate::replica::CopyLogError;
+use crate::replica::CopyPart;
+use crate::replica::CopyWriter;
 use crate::replica::Member;
+use crate::replica::Update;
+use crate::replica::subscribe;
 use crate::replica::subscribe::Subscription;
 use crate::replica::subscribe::UpstreamUpdate;
 
@@ -55,6 +68,8 @@
     pub(super) started_at: Instant,
     /// Addresses of instances with a copy that have subscribed here.
     pub(super) copy_holders: watch::Receiver<Vec<SocketAddrV4>>,
+    /// The copy while it comes in.
+    pub(super) copy_log: Arc<CopyLog>,
     pub(super) log: Logger,
 }
 
@@ -64,13 +79,23 @@
         time::sleep_until(self.started_at + ASK_OTHERS_AFTER).await;
         let old_from = self.started_at + ACCEPT_OLD_AFTER;
         let mut requested = HashSet::from([self.me.address]);
+        let answering = AnsweringPeers::default();
         let mut copies = FuturesUnordered::new();
         let mut newest: Option<UpstreamUpdate> = None;
         loop {
             let copy_holders = self.copy_holders.borrow_and_update().clone();
             for address in self.seeds.iter().copied().chain(copy_holders) {
                 if requested.insert(address) {
-                    copies.push(await_copy(address, &self.me, RETRY_PAUSES, &self.log));
+                    let (me, copy_log) = (&self.me, &self.copy_log);
+                    copies.push(await_copy(
+                        address,
+                        me,
+                        RETRY_PAUSES,
+                        copy_log,
+                        None,
+                        &answering,
+                        &self.log,
+                    ));
                 }
             }
             if Instant::now() >= old_from
@@ -99,16 +124,64 @@
     }
 }
 
+/// Reports entries to the own instance before the copy is complete, so that it can serve
+/// callers with what it knows.
+pub(super) struct EarlyEntries {
+    pub(super) sender: mpsc::Sender<Update>,
+    /// Age from which a copy may name withdrawn routes.
+    pub(super) fresh: Duration,
+}
+
+impl EarlyEntries {
+    /// Reports entries of a copy of this age. While the instance is behind, entries are
+    /// left out, since it gets all of them with the complete copy.
+    pub(super) fn report(&self, entries: &[Entry], age: Duration) {
+        if entries.is_empty() || age >= self.fresh {
+            return;
+        }
+        let entries = entries.to_vec();
+        // An instance that has ended needs no entries.
+        let _ = self.sender.try_send(Update::Part { entries });
+    }
+}
+
+/// Number of instances that have accepted a subscription and not sent a copy yet.
+#[derive(Debug, Default)]
+pub(super) struct AnsweringPeers(AtomicUsize);
+
+impl AnsweringPeers {
+    pub(super) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Counts an instance until the guard is dropped.
+    fn add(&self) -> AnsweringPeer<'_> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        AnsweringPeer(&self.0)
+    }
+}
+
+struct AnsweringPeer<'a>(&'a AtomicUsize);
+
+impl Drop for AnsweringPeer<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Waits until an instance has a copy and returns it.
 pub(super) async fn await_copy(
     peer: SocketAddrV4,
     me: &Member,
     retry: BackoffBounds,
+    copy_log: &Arc<CopyLog>,
+    early: Option<&EarlyEntries>,
+    answering: &AnsweringPeers,
     log: &Logger,
 ) -> UpstreamUpdate {
     let mut pause = retry.first_delay;
     loop {
-        match request_copy(peer, me).await {
+        match request_copy(peer, me, copy_log, early, answering).await {
             Ok(update) => return update,
             Err(error) => info!(log, "no copy from another instance"; "error" => %error),
         }
@@ -117,11 +190,65 @@
     }
 }
 
-async fn request_copy(peer: SocketAddrV4, me: &Member) -> crate::Result<UpstreamUpdate> {
+async fn request_copy(
+    peer: SocketAddrV4,
+    me: &Member,
+    log: &Arc<CopyLog>,
+    early: Option<&EarlyEntries>,
+    answering: &AnsweringPeers,
+) -> crate::Result<UpstreamUpdate> {
     let opened = Subscription::open(peer, me, None, Vec::new()).await;
     let (mut subscription, mut update) = opened?;
-    while !update.is_full_copy {
+    let _answering = answering.add();
+    let mut receiver = CopyReceiver::new(log, early);
+    loop {
+        if let Some(part) = update.copy_part.take() {
+            let entries = receiver.add(&part);
+            let entries = entries.map_err(|e| subscribe::subscription_error(peer, e))?;
+            if let Some(entries) = entries {
+                update.is_full_copy = true;
+                update.revision = part.revision;
+                update.changes = entries.into_iter().map(Change::Put).collect();
+                return subscription.await_contact(update).await;
+            }
+        }
+        if update.is_full_copy {
+            return subscription.complete(update).await;
+        }
         update = subscription.next_update().await?;
     }
-    subscription.complete(update).await
+}
+
+/// Decodes the parts of a copy, and passes them on unless another copy is being passed on.
+struct CopyReceiver<'a> {
+    log: &'a Arc<CopyLog>,
+    early: Option<&'a EarlyEntries>,
+    decoder: CopyDecoder,
+    writer: Option<CopyWriter>,
+}
+
+impl<'a> CopyReceiver<'a> {
+    fn new(log: &'a Arc<CopyLog>, early: Option<&'a EarlyEntries>) -> Self {
+        Self {
+            log,
+            early,
+            decoder: CopyDecoder::default(),
+            writer: None,
+        }
+    }
+
+    fn add(&mut self, part: &CopyPart) -> Result<Option<Vec<Entry>>, CopyLogError> {
+        let entries = self.decoder.add(part)?;
+        if part.offset == 0 {
+            let contact = Instant::now() - Duration::from_millis(part.age_ms);
+            self.writer = self.log.begin(part.id, contact);
+        }
+        if let Some(writer) = &self.writer {
+            writer.append_part(part);
+            if let Some(early) = self.early {
+                early.report(self.decoder.take_new(), Duration::from_millis(part.age_ms));
+            }
+        }
+        Ok(entries)
+    }
 }
--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -3,7 +3,9 @@
 
 mod board;
 mod copy;
+mod copy_log;
 mod parcels;
+mod restart;
 mod rows;
 mod start;
 mod storm;
