--- a/tests/flow/scale.rs
+++ b/tests/flow/scale.rs
@@ -51,6 +51,14 @@
     )
 }
 
+fn peers(count: usize) -> Vec<Peer> {
+    let peer = |number| Peer {
+        instance: format!("entry-{number}").parse().unwrap(),
+        zone: LOCAL.parse().unwrap(),
+    };
+    (0..count).map(peer).collect()
+}
+
 /// Least time of several runs of all changes.
 fn cost(servers: u32, change: impl Fn(&mut DataPlane, Instant, u32)) -> f64 {
     let run = |_| {
@@ -104,12 +112,7 @@
 // thousands of cold servers.
 #[test]
 fn an_instance_that_joins_costs_the_same_whatever_the_servers() {
-    let peers: Vec<Peer> = (0..300)
-        .map(|number| Peer {
-            instance: format!("entry-{number}").parse().unwrap(),
-            zone: LOCAL.parse().unwrap(),
-        })
-        .collect();
+    let peers = peers(300);
     let warmup = Warmup {
         duration: Duration::from_secs(2),
         rate: 10.0,
@@ -132,12 +135,7 @@
 // Guards against quotas that do not add up to the rate in a fleet of two thousand.
 #[test]
 fn quotas_of_two_thousand_instances_add_up() {
-    let peers: Vec<Peer> = (0..2_000)
-        .map(|number| Peer {
-            instance: format!("entry-{number}").parse().unwrap(),
-            zone: LOCAL.parse().unwrap(),
-        })
-        .collect();
+    let peers = peers(2_000);
     let rings: Vec<PeerRing> = peers
         .iter()
         .map(|peer| PeerRing::new(&peer.instance, &peers))
