A copy that took long to read is waited for, not passed over

Change: the subscription that brought the copy stays until its owner's contact is recent, which the heads' next poll brings; other sources are asked meanwhile.

--- a/src/replica/follow/search.rs
+++ b/src/replica/follow/search.rs
@@ -80,22 +80,22 @@
         let old_from = self.started_at + ACCEPT_OLD_AFTER;
         let mut requested = HashSet::from([self.me.address]);
         let answering = AnsweringPeers::default();
+        let request = CopyRequest {
+            me: &self.me,
+            retry: RETRY_PAUSES,
+            copy_log: &self.copy_log,
+            early: None,
+            max_age: None,
+            answering: &answering,
+            log: &self.log,
+        };
         let mut copies = FuturesUnordered::new();
         let mut newest: Option<UpstreamUpdate> = None;
         loop {
             let copy_holders = self.copy_holders.borrow_and_update().clone();
             for address in self.seeds.iter().copied().chain(copy_holders) {
                 if requested.insert(address) {
-                    let (me, copy_log) = (&self.me, &self.copy_log);
-                    copies.push(await_copy(
-                        address,
-                        me,
-                        RETRY_PAUSES,
-                        copy_log,
-                        None,
-                        &answering,
-                        &self.log,
-                    ));
+                    copies.push(request.await_copy(address));
                 }
             }
             if Instant::now() >= old_from
@@ -169,53 +169,91 @@
     }
 }
 
-/// Waits until an instance has a copy and returns it.
-pub(super) async fn await_copy(
-    peer: SocketAddrV4,
-    me: &Member,
-    retry: BackoffBounds,
-    copy_log: &Arc<CopyLog>,
-    early: Option<&EarlyEntries>,
-    answering: &AnsweringPeers,
-    log: &Logger,
-) -> UpstreamUpdate {
-    let mut pause = retry.first_delay;
-    loop {
-        match request_copy(peer, me, copy_log, early, answering).await {
-            Ok(update) => return update,
-            Err(error) => info!(log, "no copy from another instance"; "error" => %error),
+/// How copies are requested from other instances.
+pub(super) struct CopyRequest<'a> {
+    pub(super) me: &'a Member,
+    pub(super) retry: BackoffBounds,
+    /// Where a copy is passed on while it comes in.
+    pub(super) copy_log: &'a Arc<CopyLog>,
+    /// Where its entries are reported while it comes in.
+    pub(super) early: Option<&'a EarlyEntries>,
+    /// Age from which a copy is of no use; `None` when any is better than none.
+    pub(super) max_age: Option<Duration>,
+    pub(super) answering: &'a AnsweringPeers,
+    pub(super) log: &'a Logger,
+}
+
+impl CopyRequest<'_> {
+    /// Waits until an instance has a usable copy and returns it.
+    pub(super) async fn await_copy(&self, peer: SocketAddrV4) -> UpstreamUpdate {
+        let mut pause = self.retry.first_delay;
+        loop {
+            match self.request_copy(peer).await {
+                Ok(update) => return update,
+                Err(error) => info!(self.log, "no copy from another instance"; "error" => %error),
+            }
+            time::sleep(pause).await;
+            pause = (pause * 2).min(self.retry.max_delay);
         }
-        time::sleep(pause).await;
-        pause = (pause * 2).min(retry.max_delay);
     }
-}
 
-async fn request_copy(
-    peer: SocketAddrV4,
-    me: &Member,
-    log: &Arc<CopyLog>,
-    early: Option<&EarlyEntries>,
-    answering: &AnsweringPeers,
-) -> crate::Result<UpstreamUpdate> {
-    let opened = Subscription::open(peer, me, None, Vec::new()).await;
-    let (mut subscription, mut update) = opened?;
-    let _answering = answering.add();
-    let mut receiver = CopyReceiver::new(log, early);
-    loop {
-        if let Some(part) = update.copy_part.take() {
-            let entries = receiver.add(&part);
-            let entries = entries.map_err(|e| subscribe::subscription_error(peer, e))?;
-            if let Some(entries) = entries {
-                update.is_full_copy = true;
-                update.revision = part.revision;
-                update.changes = entries.into_iter().map(Change::Put).collect();
-                return subscription.await_contact(update).await;
+    async fn request_copy(&self, peer: SocketAddrV4) -> crate::Result<UpstreamUpdate> {
+        let opened = Subscription::open(peer, self.me, None, Vec::new()).await;
+        let (mut subscription, first) = opened?;
+        let update = self.receive_copy(&mut subscription, first).await?;
+        self.await_fresh(subscription, update).await
+    }
+
+    async fn receive_copy(
+        &self,
+        subscription: &mut Subscription,
+        mut update: UpstreamUpdate,
+    ) -> crate::Result<UpstreamUpdate> {
+        let _answering = self.answering.add();
+        let peer = subscription.peer();
+        let mut receiver = CopyReceiver::new(self.copy_log, self.early);
+        loop {
+            if let Some(part) = update.copy_part.take() {
+                let entries = receiver.add(&part);
+                let entries = entries.map_err(|e| subscribe::subscription_error(peer, e))?;
+                if let Some(entries) = entries {
+                    update.is_full_copy = true;
+                    update.revision = part.revision;
+                    update.changes = entries.into_iter().map(Change::Put).collect();
+                    return subscription.await_contact(update).await;
+                }
+            }
+            if update.is_full_copy {
+                return subscription.complete(update).await;
             }
+            update = subscription.next_update().await?;
+        }
+    }
+
+    /// Waits until the sender's contact with the store is recent.
+    ///
+    /// Load pattern: a store of tens of thousands of keys is read for longer than a copy may
+    /// be old, and all who started together have its copy. Their contact is that of the
+    /// reading until the first of them has polled the store again. If the others asked
+    /// elsewhere, all of them would read the store in the end.
+    async fn await_fresh(
+        &self,
+        mut subscription: Subscription,
+        mut update: UpstreamUpdate,
+    ) -> crate::Result<UpstreamUpdate> {
+        let Some(max_age) = self.max_age else {
+            return Ok(update);
+        };
+        let is_old = |update: &UpstreamUpdate| update.age.is_none_or(|age| age >= max_age);
+        if is_old(&update) {
+            // Its owner may be cut off from the store. With this copy, routes would be used
+            // that have been withdrawn since.
+            info!(self.log, "copy of upstream too old"; "peer" => %subscription.peer());
         }
-        if update.is_full_copy {
-            return subscription.complete(update).await;
+        while is_old(&update) {
+            update.extend(subscription.next_update().await?);
         }
-        update = subscription.next_update().await?;
+        Ok(update)
     }
 }
 
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -13,7 +13,6 @@
 //! waiting for the store first, would prolong the wait of callers. See
 //! [`super::search`].
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,8 +32,8 @@
 use crate::replica::follow::Follower;
 use crate::replica::follow::MAX_RETRY_PAUSE;
 use crate::replica::follow::StoreState;
-use crate::replica::follow::search;
 use crate::replica::follow::search::AnsweringPeers;
+use crate::replica::follow::search::CopyRequest;
 use crate::replica::follow::search::CopySearch;
 use crate::replica::follow::search::EarlyEntries;
 use crate::replica::register;
@@ -197,6 +196,16 @@
         plan: &FirstCopyPlan,
         answering: &AnsweringPeers,
     ) -> UpstreamUpdate {
+        let early = self.early_entries();
+        let request = CopyRequest {
+            me: &self.sources.me,
+            retry: RETRY_PAUSES,
+            copy_log: &self.shared.log,
+            early: Some(&early),
+            max_age: Some(self.sources.timing.fresh_age),
+            answering,
+            log: &self.sources.log,
+        };
         let mut copies = FuturesUnordered::new();
         let mut remaining = plan.sources.iter();
         let mut asked_at = Instant::now();
@@ -208,7 +217,7 @@
             if (copies.is_empty() || asked_at.elapsed() >= pause)
                 && let Some(source) = remaining.next()
             {
-                copies.push(self.copy_from(*source, answering));
+                copies.push(request.await_copy(*source));
                 asked_at = Instant::now();
             }
             tokio::select! {
@@ -217,29 +226,6 @@
             }
         }
     }
-
-    /// Waits until an instance has a fresh copy and returns it.
-    async fn copy_from(&self, address: SocketAddrV4, answering: &AnsweringPeers) -> UpstreamUpdate {
-        let (me, log) = (&self.sources.me, &self.sources.log);
-        let (copy_log, early) = (&self.shared.log, self.early_entries());
-        let update = search::await_copy(
-            address,
-            me,
-            RETRY_PAUSES,
-            copy_log,
-            Some(&early),
-            answering,
-            log,
-        );
-        let update = update.await;
-        if self.is_fresh(&update) {
-            return update;
-        }
-        // The owner of the copy is cut off from the store. With this copy, routes would be
-        // used that have been withdrawn since.
-        info!(log, "copy of upstream too old"; "peer" => %address);
-        std::future::pending().await
-    }
 }
 
 /// Waits until this instance should read the store itself.
--- a/src/replica/subscribe.rs
+++ b/src/replica/subscribe.rs
@@ -93,7 +93,7 @@
     }
 
     /// Merges the update that follows this one.
-    fn extend(&mut self, next: Self) {
+    pub(crate) fn extend(&mut self, next: Self) {
         let previous = std::mem::replace(self, next);
         if self.is_full_copy {
             return;
@@ -155,6 +155,11 @@
         opened.unwrap_or_else(|_| Err(subscription_error(peer, "timed out")))
     }
 
+    /// The instance that sends.
+    pub(crate) fn peer(&self) -> SocketAddrV4 {
+        self.peer
+    }
+
     /// Waits for all changes that an update announces.
     ///
     /// An instance that applied only some of them would consider itself outdated, leave,
