A listing is read to its end whatever the number of its pages

Cause: each page drew on the limit of 20 reads a second. A listing of more pages than that failed midway and began anew without end: no instance of a fleet with somewhat more servers than 10,000 (22 pages in half a second) would ever have had a copy. Found by a test with 500 servers on pages of 20.

Ruled out: a greater limit, which a larger fleet exceeds.

Change: the limit admits listings; their further pages are not limited again.

--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -112,9 +112,13 @@
     ///
     /// Fails if no address responds or the rate limit is exceeded.
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        let kind = match after {
+            Some(_) => Kind::NextPage,
+            None => Kind::Read,
+        };
         let call = Call {
             step: "list",
-            kind: Kind::Read,
+            kind,
             path: (self.dialect.list_path)(prefix, after).into(),
             body: None,
             wait: Duration::ZERO,
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -66,6 +66,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
     Read,
+    /// A further page of a listing, which the first page was admitted for. If pages were
+    /// limited one by one, a listing with more of them than the rate allows would fail
+    /// midway, begin anew, and never end.
+    NextPage,
     Write,
     Lease,
     Watch,
@@ -112,7 +116,7 @@
     fn may_try_next_address(&self, error: &Error) -> bool {
         match error {
             Error::Unreachable { .. } => true,
-            Error::Unanswered { .. } => self.kind == Kind::Read,
+            Error::Unanswered { .. } => matches!(self.kind, Kind::Read | Kind::NextPage),
             _ => false,
         }
     }
@@ -313,6 +317,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let (admitted, rate) = match call.kind {
+            Kind::NextPage => (true, rate_limits.reads.rate()),
             Kind::Read | Kind::Watch => (rate_limits.reads.take(now), rate_limits.reads.rate()),
             Kind::Write => (rate_limits.writes.take(now), rate_limits.writes.rate()),
             Kind::Lease => (
@@ -334,7 +339,7 @@
 
     fn sent_counter(&self, kind: Kind) -> &AtomicU64 {
         match kind {
-            Kind::Read => &self.counts.reads,
+            Kind::Read | Kind::NextPage => &self.counts.reads,
             Kind::Write => &self.counts.writes,
             Kind::Lease => &self.counts.leases,
             Kind::Watch => &self.counts.watches,
