--- a/src/replica/copy_log.rs
+++ b/src/replica/copy_log.rs
@@ -2,11 +2,10 @@
 //! are passed on.
 //!
 //! Load pattern: all instances of a fleet start at once and wait for the copies of a few.
-//! When each instance passed a copy on only after it had received, unpacked and applied
-//! all of it, each level of the tree took as long as the first one, which read the store,
-//! and longer for each server that the fleet had more. So whoever reads the store
-//! compresses each page as it arrives, and whoever receives these bytes passes them on at
-//! once, as they are.
+//! If each instance passed a copy on only after it has received, unpacked and applied all
+//! of it, each level of the tree would add as much time as the reading of the store, in
+//! proportion to the number of servers. So whoever reads the store compresses each page
+//! as it arrives, and whoever receives these bytes forwards them at once, as they are.
 //!
 //! The bytes are frames, each with some rows. A copy has an id, which its reader chooses.
 //! The source of an instance may fail midway; the copy of the next source goes on where
--- a/src/replica/first_copy.rs
+++ b/src/replica/first_copy.rs
@@ -2,12 +2,12 @@
 //!
 //! Load pattern: all instances of a fleet are killed and start again within a third of a
 //! second, before a store of thousands of keys. Whoever reads all of it takes a share of
-//! the store's link, so the copies of the heads come the later, the more instances lose
-//! patience with them. When patience ended after a fixed time, a thousand instances read
-//! everything at once, and nobody was served for eight seconds.
+//! the store's link, so the copies of the heads arrive the later, the more instances stop
+//! waiting for them. With a wait of fixed length, all instances of a large fleet read
+//! everything at once, and none of them completes its copy for many seconds.
 //!
-//! So three rules bound what the store is asked. Patience grows with the number of keys,
-//! as the time of a reading does. While an instance above answers, only three further
+//! Three rules bound the load on the store. The wait grows with the number of keys, as
+//! the time of a reading does. While an instance above answers, only three further
 //! instances of a zone begin to read in the time of one reading, by rank. And an instance
 //! asks one source after the other, not all of them, so that those with a copy spend
 //! their time and links on sending it once to each.
--- a/src/replica/roster.rs
+++ b/src/replica/roster.rs
@@ -2,13 +2,13 @@
 //!
 //! Load pattern: a whole fleet loses power and starts again at once. If each instance
 //! listed the members of its zone, the store would send bytes that grow with the square
-//! of the zone: 986 instances in six zones take 45 MB, as long as the heads need for
-//! everything. So the first instance of a zone keeps one entry up to date that names the
-//! instances that rank first, and an instance that starts reads only that.
+//! of the zone: 45 MB for 986 instances in six zones, as much as the heads' listings. So
+//! the first instance of a zone keeps one entry up to date that names the instances that
+//! rank first, and an instance that starts reads only that.
 //!
-//! The entry has no lease and may be outdated. Then it names instances that are gone,
-//! which costs an instance that starts a few failed connections, and after a while one
-//! listing.
+//! The entry has no lease and may be outdated. Instances in it that are gone cost an
+//! instance that starts a failed connection each. If all of them are gone, it reads the
+//! store itself after a while.
 
 use std::sync::Arc;
 use std::time::Duration;
