Only heads list a store that keeps dropping its history

Ruled out: a limit on the pages of a listing, which had kept the calls lower, and kept a listing of more than some 27 pages from ever being completed.

Change: an instance that is not a head stays with its upstreams for the pause of a probe; contact through an upstream ends the need for a listing.

--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -250,6 +250,7 @@
         self.shared.record_contact(contact);
         if !self.is_copy_old() {
             self.is_store_silent = false;
+            self.is_compacted = false;
             self.store_state = StoreState::Reachable;
             let contact = StoreContact::at(contact);
             self.sender.send(Update::Contact(contact)).await?;
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -288,8 +288,11 @@
         {
             return true;
         }
-        let is_head = self.upstreams().len() < tree::HEAD_COUNT;
-        let share = if is_head { HEAD_PROBE_SHARE } else { 1.0 };
+        let share = if self.is_head() {
+            HEAD_PROBE_SHARE
+        } else {
+            1.0
+        };
         let probe_age = self.sources.timing.max_age.mul_f64(share);
         let age = self.shared.age(Instant::now());
         age.is_none_or(|age| age > probe_age)
@@ -310,12 +313,32 @@
                 self.next_fallback_probe = self
                     .next_fallback_probe
                     .map(|_| Instant::now() + self.probe_pause);
-                // A store that has dropped the history does respond.
-                Ok(is_upstream_old && store::needs_listing(&error))
+                if !store::needs_listing(&error) {
+                    return Ok(false);
+                }
+                // The store does respond, but has dropped the history.
+                if self.is_head() {
+                    return Ok(is_upstream_old);
+                }
+                self.leave_listing_to_heads();
+                Ok(false)
             }
         }
     }
 
+    /// Stays with the upstreams for a while, although the store responds here.
+    ///
+    /// Load pattern: the store drops its history again and again, faster than a head lists
+    /// it, and all copies of a fleet grow old. If each instance left its upstream and listed
+    /// the store, the listings would fill the store's link, and no head would complete one.
+    fn leave_listing_to_heads(&mut self) {
+        self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause);
+    }
+
+    fn is_head(&mut self) -> bool {
+        self.upstreams().len() < tree::HEAD_COUNT
+    }
+
     /// Whether this is the first response after an outage. The upstream, which polls
     /// about once a second, is about to report the store's return itself; if it does not,
     /// the store is probed again.
