Say in logs and metrics that the store was restored

Logs could not tell a store that came back from an older copy from one that drops its history, or from listings that fail: a listing that the copy rejects as older left no line, and nothing showed the store's era.

New: `store restored` with the era and the copy's revision, `listing older than the copy` with both revisions, and the gauge store_era. Nothing that orders by revision is changed yet.

--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::flow;
+use crate::metric::collector::EraCollector;
 use crate::metric::collector::PlatformCollector;
 use crate::metric::collector::ViewAgeCollector;
 use crate::metric::label::KindLabels;
@@ -123,6 +124,7 @@
             "Bytes of callers' packets that wait for this instance's link",
             self.link_queue.clone(),
         );
+        registry.register_collector(Box::new(EraCollector(Arc::clone(&store))));
         registry.register_collector(Box::new(PlatformCollector(store)));
         registry.register_collector(Box::new(ViewAgeCollector(replica)));
     }
--- a/src/metric/collector.rs
+++ b/src/metric/collector.rs
@@ -60,6 +60,27 @@
     }
 }
 
+/// Reads the latest era of the store at each scrape.
+pub(crate) struct EraCollector(pub(crate) Arc<Transport>);
+
+impl fmt::Debug for EraCollector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("EraCollector").field(&self.0.era()).finish()
+    }
+}
+
+impl Collector for EraCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        // No response has arrived yet.
+        let Some(era) = self.0.era() else {
+            return Ok(());
+        };
+        let help = "Latest era of the store, which increases when it is restored.";
+        let metric = encoder.encode_descriptor("store_era", help, None, MetricType::Gauge)?;
+        ConstGauge::new(i64::from(era.0)).encode(metric)
+    }
+}
+
 type KindCount<'a> = (&'static str, &'a AtomicU64);
 
 fn calls(counts: &CallCounts) -> [KindCount<'_>; 4] {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,6 +16,7 @@
 pub mod poll;
 pub mod rate_limit;
 mod resolution;
+mod revision;
 pub(crate) mod transport;
 mod watch;
 
@@ -37,6 +38,8 @@
 pub use crate::platform::follow::Update;
 pub use crate::platform::follow::follow;
 pub use crate::platform::resolution::ResolvedWrite;
+pub use crate::platform::revision::Era;
+pub use crate::platform::revision::Revision;
 
 /// Base address of the platform's service: `http://IP:PORT`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,6 +180,8 @@
     pub write_rate: Rate,
     /// Seed of the backoff jitter; should differ between instances.
     pub seed: u64,
+    /// Header of each response with the store's [`Era`]; `None` for a store without eras.
+    pub era_header: Option<&'static str>,
 }
 
 impl Default for Options {
@@ -195,6 +200,7 @@
             read_rate: Rate(200),
             write_rate: Rate(40),
             seed: 0,
+            era_header: None,
         }
     }
 }
--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -13,6 +13,7 @@
 use crate::platform::Change;
 use crate::platform::Client;
 use crate::platform::Entry;
+use crate::platform::Era;
 use crate::platform::Lease;
 use crate::platform::gateway::DecodeResult;
 use crate::platform::transport::Call;
@@ -65,6 +66,9 @@
 /// Encoders of a store's requests and decoders of its responses.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
+    /// Header of each response with the store's [`crate::platform::Era`], which increases
+    /// when the store is restored from an older copy.
+    pub era_header: &'static str,
     /// Path and query of a listing, which begins after the key `after` if given.
     pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
     /// Decodes the response to a listing.
@@ -101,6 +105,11 @@
         Self { client, dialect }
     }
 
+    /// The latest era of the store that is known; `None` before the first response.
+    pub fn era(&self) -> Option<Era> {
+        self.client.transport().era()
+    }
+
     /// The client that makes the calls.
     pub fn client(&self) -> &Client {
         &self.client
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -13,6 +13,7 @@
 use reqwest::Response;
 use reqwest::StatusCode;
 use reqwest::header::CONTENT_TYPE;
+use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -20,6 +21,7 @@
 use crate::error::Result;
 use crate::platform::BaseUrl;
 use crate::platform::CallCounts;
+use crate::platform::Era;
 use crate::platform::Options;
 use crate::platform::call::Body;
 use crate::platform::gateway;
@@ -137,6 +139,8 @@
     options: Options,
     rate_limits: Mutex<RateLimits>,
     counts: CallCounts,
+    /// Latest era in a response; `None` before the first response.
+    era: watch::Sender<Option<Era>>,
 }
 
 impl Transport {
@@ -157,9 +161,34 @@
             options,
             rate_limits: Mutex::new(rate_limits),
             counts: CallCounts::default(),
+            era: watch::Sender::default(),
         })
     }
 
+    /// The latest era of the store that is known; `None` before the first response.
+    pub(crate) fn era(&self) -> Option<Era> {
+        *self.era.borrow()
+    }
+
+    /// Records an era of the store.
+    pub(crate) fn record_era(&self, era: Era) {
+        self.era.send_if_modified(|known| {
+            let is_later = Some(era) > *known;
+            *known = Some(era).max(*known);
+            is_later
+        });
+    }
+
+    /// The era in the headers of a response; 0 if the store has none.
+    fn response_era(&self, response: &Response) -> std::result::Result<Era, String> {
+        let name = self.options.era_header;
+        let Some(value) = name.and_then(|name| response.headers().get(name)) else {
+            return Ok(Era::default());
+        };
+        let text = value.to_str().map_err(|error| error.to_string())?;
+        text.parse().map_err(|error: Error| error.to_string())
+    }
+
     pub(crate) fn counts(&self) -> &CallCounts {
         &self.counts
     }
@@ -307,6 +336,9 @@
                 call.unanswered(base, "timed out")
             })?
             .map_err(|e| send_error(call, base, &e))?;
+        if let Ok(era) = self.response_era(&response) {
+            self.record_era(era);
+        }
         check_status(call, base, response).await
     }
 
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -23,6 +23,7 @@
 use crate::pacing::Backoff;
 use crate::platform::Change;
 use crate::platform::Entry;
+use crate::platform::Era;
 use crate::platform::poll::Reader;
 use crate::platform::poll::UnreadableEntry;
 use crate::replica::KeyLayout;
@@ -116,6 +117,8 @@
     probe_pause: Duration,
     /// Whether the last poll brought changes.
     had_changes: bool,
+    /// Era of the store as last logged.
+    era: Option<Era>,
     /// Whether the store has dropped the history after the synced revision.
     is_compacted: bool,
     /// Polling state of the large value.
@@ -156,6 +159,7 @@
         store_state: StoreState::Reachable,
         probe_pause: PROBE_PAUSE.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
+        era: None,
         is_compacted: false,
         large: LargeValueState::default(),
         backoff: Backoff::new(options.backoff, options.seed),
@@ -258,7 +262,25 @@
         Ok(())
     }
 
+    /// Logs that the store has been restored since the last call.
+    fn log_era(&mut self) {
+        let Some(era) = self.sources.reader.era() else {
+            return;
+        };
+        let previous = self.era.replace(era);
+        if let Some(previous) = previous.filter(|previous| *previous != era) {
+            info!(self.sources.log, "store restored"; "era" => era.0, "previous_era" => previous.0,
+                "copy_revision" => self.shared.synced_revision());
+        }
+    }
+
     async fn update_from_store(&mut self) -> Result<(), FollowEnd> {
+        let result = self.request_update_from_store().await;
+        self.log_era();
+        result
+    }
+
+    async fn request_update_from_store(&mut self) -> Result<(), FollowEnd> {
         match self.shared.synced_revision() {
             None => self.fetch_first_copy().await,
             Some(_) if self.is_compacted => {
@@ -294,6 +316,8 @@
         revision: u64,
     ) -> Result<(), FollowEnd> {
         if !self.shared.reset(&entries, revision) {
+            info!(self.sources.log, "listing older than the copy"; "revision" => revision,
+                "copy_revision" => self.shared.synced_revision());
             return Ok(());
         }
         self.members.clear();
