--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -60,9 +60,9 @@
     lease: u64,
 }
 
-#[derive(Default)]
-struct Data {
-    mode: Mode,
+/// Everything that the store loses with its latest writes.
+#[derive(Clone, Default)]
+struct Content {
     rev: u64,
     items: BTreeMap<String, Item>,
     history: VecDeque<(u64, Value)>,
@@ -70,8 +70,22 @@
     compacted: u64,
     /// Expiry and TTL of each lease.
     leases: HashMap<u64, (Instant, Duration)>,
-    /// Count of transactions and new leases.
+    /// Count of transactions and new leases, by which leases are numbered.
     write_count: u64,
+}
+
+/// A copy of the store's content.
+#[derive(Clone)]
+pub struct Backup(Content);
+
+#[derive(Default)]
+struct Data {
+    mode: Mode,
+    content: Content,
+    /// Number of times that the store has been restored.
+    era: u64,
+    /// What operators and servers last wrote to each key; `None` if they deleted it.
+    written: BTreeMap<String, Option<Vec<u8>>>,
     /// Count of pages of listings that were requested.
     pages: u64,
     /// Count of requests of all kinds.
@@ -106,16 +120,65 @@
     /// Writes a key, as an operator or a backend server does.
     pub fn put(&self, key: &str, value: &Value) {
         let bytes = value.to_string().into_bytes();
-        let rev = self.lock().put(key, bytes, 0);
+        let mut data = self.lock();
+        data.written.insert(key.to_owned(), Some(bytes.clone()));
+        let rev = data.content.put(key, bytes, 0);
+        drop(data);
         self.changed.send_replace(rev);
     }
 
     /// Deletes a key.
     pub fn remove(&self, key: &str) {
-        let rev = self.lock().remove(key);
+        let mut data = self.lock();
+        data.written.insert(key.to_owned(), None);
+        let rev = data.content.remove(key);
+        drop(data);
+        self.changed.send_replace(rev);
+    }
+
+    /// Copies the content.
+    pub fn backup(&self) -> Backup {
+        Backup(self.lock().content.clone())
+    }
+
+    /// Restores the content from a copy. What was written since is lost, and its revisions
+    /// and leases are assigned again.
+    pub fn restore(&self, backup: &Backup) {
+        let mut data = self.lock();
+        data.content = backup.0.clone();
+        data.era += 1;
+        let rev = data.content.rev;
+        drop(data);
         self.changed.send_replace(rev);
     }
 
+    /// Writes again what operators and servers have written and a restore has lost.
+    pub fn write_again(&self) {
+        let mut data = self.lock();
+        let written = data.written.clone();
+        for (key, value) in written {
+            let stored = data.content.items.get(&key).map(|item| &item.value);
+            match value {
+                Some(value) if stored != Some(&value) => _ = data.content.put(&key, value, 0),
+                None if stored.is_some() => _ = data.content.remove(&key),
+                _ => {}
+            }
+        }
+        let rev = data.content.rev;
+        drop(data);
+        self.changed.send_replace(rev);
+    }
+
+    /// Whether a key exists.
+    pub fn contains(&self, key: &str) -> bool {
+        self.lock().content.items.contains_key(key)
+    }
+
+    /// Latest revision.
+    pub fn revision(&self) -> u64 {
+        self.lock().content.rev
+    }
+
     /// Count of pages of listings that were requested.
     pub fn pages(&self) -> u64 {
         self.lock().pages
@@ -129,8 +192,8 @@
     /// Drops the history, so that watches must start again from a listing.
     pub fn compact(&self) {
         let mut data = self.lock();
-        data.history.clear();
-        data.compacted = data.rev;
+        data.content.history.clear();
+        data.content.compacted = data.content.rev;
     }
 
     /// Ends the expired leases and deletes their keys.
@@ -138,13 +201,14 @@
         let now = Instant::now();
         let mut data = self.lock();
         let expired: Vec<u64> = data
+            .content
             .leases
             .iter()
             .filter(|(_, (end, _))| now > *end)
             .map(|(id, _)| *id)
             .collect();
-        data.end_leases(&expired);
-        let rev = data.rev;
+        data.content.end_leases(&expired);
+        let rev = data.content.rev;
         drop(data);
         self.changed.send_replace(rev);
     }
@@ -152,15 +216,15 @@
     /// Ends all leases, as a store may do after an outage.
     pub fn revoke(&self) {
         let mut data = self.lock();
-        let all: Vec<u64> = data.leases.keys().copied().collect();
-        data.end_leases(&all);
-        let rev = data.rev;
+        let all: Vec<u64> = data.content.leases.keys().copied().collect();
+        data.content.end_leases(&all);
+        let rev = data.content.rev;
         drop(data);
         self.changed.send_replace(rev);
     }
 }
 
-impl Data {
+impl Content {
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
         self.rev += 1;
         let item = Item {
@@ -203,6 +267,16 @@
     }
 }
 
+/// The header with the store's era.
+const ERA_HEADER: &str = "Store-Era";
+
+impl Data {
+    /// Adds the era in which a response was made.
+    fn respond(&self, response: impl IntoResponse) -> Response {
+        ([(ERA_HEADER, self.era.to_string())], response).into_response()
+    }
+}
+
 fn item_json(key: &str, item: &Item) -> Value {
     json!({
         "key": key,
@@ -244,10 +318,11 @@
         data.calls += 1;
         data.mode
     };
+    let refuse = |status: StatusCode| Err(store.lock().respond(status));
     match mode {
         Mode::Up | Mode::Losing => Ok(()),
-        Mode::Busy => Err(StatusCode::SERVICE_UNAVAILABLE.into_response()),
-        Mode::Limited => Err(StatusCode::TOO_MANY_REQUESTS.into_response()),
+        Mode::Busy => refuse(StatusCode::SERVICE_UNAVAILABLE),
+        Mode::Limited => refuse(StatusCode::TOO_MANY_REQUESTS),
         Mode::Silent => never_answer().await,
         Mode::Slow(ms) => {
             time::sleep(Duration::from_millis(ms)).await;
@@ -274,13 +349,16 @@
     let mut data = store.lock();
     data.pages += 1;
     let after = request.after.unwrap_or_default();
-    let matching = data.items.iter().filter(|(key, _)| {
+    let matching = data.content.items.iter().filter(|(key, _)| {
         key.starts_with(&request.prefix) && (after.is_empty() || key.as_str() > after.as_str())
     });
     let matching_items: Vec<Value> = matching.map(|(key, item)| item_json(key, item)).collect();
     let has_more = matching_items.len() > PAGE_SIZE;
     let items: Vec<Value> = matching_items.into_iter().take(PAGE_SIZE).collect();
-    Json(json!({"items": items, "hasMore": has_more, "currentRev": data.rev})).into_response()
+    let rev = data.content.rev;
+    data.respond(Json(
+        json!({"items": items, "hasMore": has_more, "currentRev": rev}),
+    ))
 }
 
 #[derive(Deserialize)]
@@ -293,12 +371,12 @@
         return response;
     }
     let data = store.lock();
-    let Some(item) = data.items.get(&request.key) else {
-        return StatusCode::NOT_FOUND.into_response();
+    let Some(item) = data.content.items.get(&request.key) else {
+        return data.respond(StatusCode::NOT_FOUND);
     };
     let mut response = item_json(&request.key, item);
-    response["currentRev"] = json!(data.rev);
-    Json(response).into_response()
+    response["currentRev"] = json!(data.content.rev);
+    data.respond(Json(response))
 }
 
 #[derive(Deserialize)]
@@ -322,8 +400,11 @@
         }
         let next = time::timeout_at(end, changed.changed()).await;
         if next.is_err() {
-            let rev = store.lock().rev;
-            let response = Json(json!({"events": [], "currentRev": rev})).into_response();
+            let response = {
+                let data = store.lock();
+                let body = json!({"events": [], "currentRev": data.content.rev});
+                data.respond(Json(body))
+            };
             return apply_mode(&store).await.err().unwrap_or(response);
         }
     }
@@ -331,14 +412,16 @@
 
 fn events_since(store: &Store, request: &PollQuery) -> Option<Response> {
     let data = store.lock();
-    if request.after < data.compacted {
-        return Some(StatusCode::GONE.into_response());
+    // After a restore, the store may not have reached that revision again.
+    if request.after < data.content.compacted || request.after > data.content.rev {
+        return Some(data.respond(StatusCode::GONE));
     }
     let is_new = |change: &&(u64, Value)| {
         let key = change.1["key"].as_str().unwrap_or_default();
         change.0 > request.after && key.starts_with(&request.prefix)
     };
     let events: Vec<&Value> = data
+        .content
         .history
         .iter()
         .filter(is_new)
@@ -347,7 +430,8 @@
     if events.is_empty() {
         return None;
     }
-    Some(Json(json!({"events": events, "currentRev": data.rev})).into_response())
+    let body = json!({"events": events, "currentRev": data.content.rev});
+    Some(data.respond(Json(body)))
 }
 
 #[derive(Deserialize)]
@@ -368,34 +452,33 @@
     if let Err(response) = apply_mode(&store).await {
         return response;
     }
-    let (rev, is_lost) = match commit(&store, &request) {
-        Ok(done) => done,
-        Err(status) => return status.into_response(),
-    };
+    let (response, is_lost) = commit(&store, &request);
     if is_lost && let Err(response) = never_answer().await {
         return response;
     }
-    Json(json!({"rev": rev})).into_response()
+    response
 }
 
-/// Executes a transaction. Returns the new revision, and whether the answer is to be lost.
-fn commit(store: &Store, request: &Transaction) -> Result<(u64, bool), StatusCode> {
+/// Executes a transaction. Returns the response, and whether it is to be lost.
+fn commit(store: &Store, request: &Transaction) -> (Response, bool) {
     let mut data = store.lock();
-    let is_known = |lease: u64| lease == 0 || data.leases.contains_key(&lease);
+    let is_known = |lease: u64| lease == 0 || data.content.leases.contains_key(&lease);
     if !request.puts.iter().all(|put| is_known(put.lease)) {
-        return Err(StatusCode::NOT_FOUND);
+        return (data.respond(StatusCode::NOT_FOUND), false);
     }
     for put in &request.puts {
-        let value = STANDARD.decode(&put.value);
-        let value = value.map_err(|_| StatusCode::BAD_REQUEST)?;
-        data.put(&put.key, value, put.lease);
+        let Ok(value) = STANDARD.decode(&put.value) else {
+            return (data.respond(StatusCode::BAD_REQUEST), false);
+        };
+        data.content.put(&put.key, value, put.lease);
     }
-    data.write_count += 1;
-    let is_lost = data.mode == Mode::Losing && data.write_count.is_multiple_of(2);
-    let rev = data.rev;
+    data.content.write_count += 1;
+    let is_lost = data.mode == Mode::Losing && data.content.write_count.is_multiple_of(2);
+    let rev = data.content.rev;
+    let response = data.respond(Json(json!({"rev": rev})));
     drop(data);
     store.changed.send_replace(rev);
-    Ok((rev, is_lost))
+    (response, is_lost)
 }
 
 #[derive(Deserialize)]
@@ -409,11 +492,12 @@
         return response;
     }
     let mut data = store.lock();
-    data.write_count += 1;
-    let lease = 1_000 + data.write_count;
+    data.content.write_count += 1;
+    let lease = 1_000 + data.content.write_count;
     let ttl = Duration::from_millis(request.ttl_ms);
-    data.leases.insert(lease, (Instant::now() + ttl, ttl));
-    Json(json!({"lease": lease, "ttlMs": request.ttl_ms})).into_response()
+    let end = Instant::now() + ttl;
+    data.content.leases.insert(lease, (end, ttl));
+    data.respond(Json(json!({"lease": lease, "ttlMs": request.ttl_ms})))
 }
 
 async fn keep_alive(AxumState(store): SharedStore, Path(lease): Path<u64>) -> Response {
@@ -421,11 +505,10 @@
         return response;
     }
     let mut data = store.lock();
-    match data.leases.get_mut(&lease) {
-        Some((end, ttl)) => {
-            *end = Instant::now() + *ttl;
-            Json(json!({"ttlMs": ttl.as_millis() as u64})).into_response()
-        }
-        None => StatusCode::NOT_FOUND.into_response(),
-    }
+    let Some((end, ttl)) = data.content.leases.get_mut(&lease) else {
+        return data.respond(StatusCode::NOT_FOUND);
+    };
+    *end = Instant::now() + *ttl;
+    let body = json!({"ttlMs": ttl.as_millis() as u64});
+    data.respond(Json(body))
 }
