Order what the store reports by its era, then by revision

Cause: the store came back from a copy some seconds old, so its revisions went back and were assigned again. Every place that orders by revision took a number alone for a position in the history. A poll from the copy's revision got 410; the listing that followed was below the copy and dropped, until the numbers had caught up. A poll that was answered, because they had, skipped what was written under numbers that the copy already knew. A lease was renewed that the store may have granted to somebody else.

Ruled out: a history that is dropped again and again, whose listings are above the copy's, and listings that fail.

Now a revision holds the era in its upper bits, from the client's decoder on: copies, subscriptions, bases, listings and handovers compare it as before and are right. A poll is rejected when its answer is of another era than its revision, a listing when its pages are, any answer when a later era is known. A listing of a later era replaces the copy and makes every subscriber take a complete one. An instance registers again in each era. The drains that were known stay in force until their servers write again, and missing entries have their full time to return.

--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -318,11 +318,10 @@
         data.calls += 1;
         data.mode
     };
-    let refuse = |status: StatusCode| Err(store.lock().respond(status));
     match mode {
         Mode::Up | Mode::Losing => Ok(()),
-        Mode::Busy => refuse(StatusCode::SERVICE_UNAVAILABLE),
-        Mode::Limited => refuse(StatusCode::TOO_MANY_REQUESTS),
+        Mode::Busy => Err(store.lock().respond(StatusCode::SERVICE_UNAVAILABLE)),
+        Mode::Limited => Err(store.lock().respond(StatusCode::TOO_MANY_REQUESTS)),
         Mode::Silent => never_answer().await,
         Mode::Slow(ms) => {
             time::sleep(Duration::from_millis(ms)).await;
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -124,6 +124,7 @@
                 is_urgent: false,
             },
             StateUpdate::StoreContact(_)
+            | StateUpdate::StoreRestored
             | StateUpdate::StoreUnreachable
             | StateUpdate::ZoneOutcomes(_) => return None,
         };
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -53,6 +53,7 @@
 use crate::flow::Verdict;
 use crate::flow::record::Record;
 use crate::id;
+use crate::platform::Revision;
 use crate::poll::Reader;
 use crate::replica;
 use crate::replica::FleetLiveness;
@@ -414,10 +415,14 @@
                 warn!(self.log, "store lost"; "reason" => reason,
                     "view_age_ms" => self.contact_age_ms(now));
             }
+            Update::Restored { era } => {
+                warn!(self.log, "store restored"; "era" => era.0,
+                    "view_age_ms" => self.contact_age_ms(now));
+            }
             Update::Reset {
                 entries, revision, ..
             } => info!(self.log, "store read"; "entries" => entries.len(),
-                "revision" => revision, "view_age_ms" => self.contact_age_ms(now)),
+                "revision" => %Revision(*revision), "view_age_ms" => self.contact_age_ms(now)),
             Update::UpstreamChanged { upstream } => {
                 self.upstream.clone_from(upstream);
                 let upstream = upstream.as_ref().map(ToString::to_string);
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -100,7 +100,6 @@
         backoff: BACKOFF,
         read_rate: settings.store.reads_per_second,
         seed: seed(settings),
-        era_header: Some(adapter.dialect.era_header),
         ..platform::Options::default()
     };
     let client = Client::new(settings.store.addresses.clone(), options)?;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -36,6 +36,7 @@
             Update::Contact(contact) => decoded
                 .state_updates
                 .push(StateUpdate::StoreContact(contact)),
+            Update::Restored { .. } => decoded.state_updates.push(StateUpdate::StoreRestored),
             Update::StoreUnreachable { .. } => {
                 decoded.state_updates.push(StateUpdate::StoreUnreachable)
             }
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -67,6 +67,8 @@
     entries_have_incarnation: bool,
     /// The last uninterrupted contact with the store; `None` while it is unreachable.
     contact: Option<StoreContact>,
+    /// Whether the store was restored after the last list.
+    is_restored: bool,
     evacuation: Evacuation,
     /// Name of this instance.
     own_instance: id::Instance,
@@ -93,6 +95,7 @@
             with_failures: BTreeSet::new(),
             entries_have_incarnation: false,
             contact: None,
+            is_restored: false,
             evacuation: Evacuation::default(),
             peers: PeerRing::new(&own_instance, &[]),
             warmups: HashMap::new(),
@@ -355,12 +358,26 @@
         for id in missing {
             self.remove(now, &id);
         }
+        let is_restored = std::mem::take(&mut self.is_restored);
         // A list does not show which of two servers at one address started later.
-        for server in servers {
+        for mut server in servers {
+            if is_restored && self.is_draining(&server) {
+                server.state = ServerState::Draining;
+            }
             self.apply(now, server);
         }
     }
 
+    /// Whether a server is known to drain in the incarnation of this entry.
+    fn is_draining(&self, entry: &Server) -> bool {
+        let handle = self.by_id.get(&entry.id);
+        let known = handle.and_then(|handle| self.get(*handle));
+        known.is_some_and(|known| {
+            known.server.incarnation == entry.incarnation
+                && known.server.state == ServerState::Draining
+        })
+    }
+
     /// Adds servers of a list that is not complete yet.
     pub(crate) fn add_listed(&mut self, now: Instant, servers: Vec<Server>) {
         for server in servers {
@@ -374,6 +391,15 @@
         self.contact = Some(merged);
     }
 
+    /// Records that the store was restored from an older copy.
+    ///
+    /// Its next list may show a draining server as it was before, until the server writes its
+    /// entry again. Entries may be missing for as long as after an outage.
+    pub(crate) fn note_restored(&mut self) {
+        self.contact = None;
+        self.is_restored = true;
+    }
+
     /// Records that the store does not answer.
     pub fn note_unreachable(&mut self) {
         self.contact = None;
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -94,6 +94,8 @@
     ZoneOutcomes(Vec<ServerOutcomes>),
     /// The store has answered.
     StoreContact(StoreContact),
+    /// The store was restored from an older copy. A list of all servers follows.
+    StoreRestored,
     /// The store does not answer.
     StoreUnreachable,
 }
@@ -213,6 +215,7 @@
             }
             StateUpdate::Peers(peers) => self.set_peers(peers),
             StateUpdate::StoreContact(contact) => self.directory.note_contact(contact),
+            StateUpdate::StoreRestored => self.directory.note_restored(),
             StateUpdate::StoreUnreachable => self.directory.note_unreachable(),
         }
         true
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -114,7 +114,8 @@
     pub key: String,
     /// The stored value.
     pub value: Bytes,
-    /// Revision of the store at which this value was written.
+    /// Revision of the store at which this value was written, with its era as in
+    /// [`Revision`].
     pub mod_revision: u64,
 }
 
@@ -149,6 +150,13 @@
             Self::Delete { mod_revision, .. } => *mod_revision,
         }
     }
+
+    fn mod_revision_mut(&mut self) -> &mut u64 {
+        match self {
+            Self::Put(entry) => &mut entry.mod_revision,
+            Self::Delete { mod_revision, .. } => mod_revision,
+        }
+    }
 }
 
 /// Outcome of a compare-and-swap for which a response arrived.
@@ -180,8 +188,6 @@
     pub write_rate: Rate,
     /// Seed of the backoff jitter; should differ between instances.
     pub seed: u64,
-    /// Header of each response with the store's [`Era`]; `None` for a store without eras.
-    pub era_header: Option<&'static str>,
 }
 
 impl Default for Options {
@@ -200,7 +206,6 @@
             read_rate: Rate(200),
             write_rate: Rate(40),
             seed: 0,
-            era_header: None,
         }
     }
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -54,14 +54,6 @@
         self.transport.options()
     }
 
-    pub(crate) async fn call<T>(
-        &self,
-        call: &Call,
-        decode: fn(&[u8]) -> DecodeResult<T>,
-    ) -> Result<T> {
-        self.transport.call(call, decode).await
-    }
-
     pub(crate) fn count_stale(&self) {
         increment(&self.transport.counts().stale);
     }
@@ -118,6 +110,7 @@
             path: "/v3/kv/txn".into(),
             body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, gateway::swap_outcome).await
     }
@@ -136,6 +129,7 @@
                 key, expected,
             )))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, gateway::swap_outcome).await
     }
@@ -152,6 +146,7 @@
             path: "/v3/kv/deleterange".into(),
             body: Some(Payload::Gateway(Box::new(call::single_key_request(key)))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, gateway::deletion).await
     }
@@ -171,6 +166,7 @@
                 ttl.as_secs(),
             )))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, gateway::grant).await
     }
@@ -188,6 +184,7 @@
             path: "/v3/lease/keepalive".into(),
             body: Some(Payload::Gateway(Box::new(call::lease_request(lease)))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         let seconds = self.transport.call(&call, gateway::keepalive).await?;
         Ok(Duration::from_secs(seconds))
@@ -205,6 +202,7 @@
             path: "/v3/lease/revoke".into(),
             body: Some(Payload::Gateway(Box::new(call::lease_request(lease)))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, gateway::revocation).await
     }
@@ -229,6 +227,7 @@
                 from_revision,
             )))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         watch::stream(Arc::clone(&self.transport), call)
     }
@@ -245,6 +244,7 @@
             path: "/v3/kv/range".into(),
             body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
+            era_header: None,
         };
         self.transport.call(&call, decode).await
     }
--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -4,17 +4,21 @@
 //! its responses. Timeouts, rate limits and counters are those of all calls to
 //! the platform.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 
+use crate::error::Error;
 use crate::error::Result;
 use crate::platform::Change;
 use crate::platform::Client;
 use crate::platform::Entry;
 use crate::platform::Era;
 use crate::platform::Lease;
+use crate::platform::Revision;
 use crate::platform::gateway::DecodeResult;
 use crate::platform::transport::Call;
 use crate::platform::transport::Kind;
@@ -115,6 +119,25 @@
         &self.client
     }
 
+    /// Notified when the store has been restored.
+    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<Era>> {
+        self.client.transport().watch_era()
+    }
+
+    /// Records an era that another instance has learned of.
+    pub(crate) fn record_era(&self, era: Era) {
+        self.client.transport().record_era(era);
+    }
+
+    /// Makes a call whose response must not be older than the latest era that is known.
+    async fn call<T>(&self, call: &Call, decode: fn(&[u8]) -> DecodeResult<T>) -> Result<(T, Era)> {
+        let (value, era) = self.client.transport().call_in_era(call, decode).await?;
+        if self.era() > Some(era) {
+            return Err(unanswered(call, era, "the store has been restored since"));
+        }
+        Ok((value, era))
+    }
+
     /// Reads one page of a prefix, which begins after the key `after` if given.
     ///
     /// # Errors
@@ -131,8 +154,10 @@
             path: (self.dialect.list_path)(prefix, after).into(),
             body: None,
             wait: Duration::ZERO,
+            era_header: Some(self.dialect.era_header),
         };
-        self.client.call(&call, self.dialect.decode_page).await
+        let (page, era) = self.call(&call, self.dialect.decode_page).await?;
+        page.in_era(&call, era)
     }
 
     /// Reads one key: a page with its entry, or with the key as unreadable.
@@ -142,27 +167,41 @@
     /// [`crate::Error::Refused`] if the key does not exist; otherwise as for
     /// [`Reader::page`].
     pub async fn get(&self, key: &str) -> Result<Page> {
-        self.get_with(key, false).await
+        let call = self.get_call(key, false);
+        let (page, era) = self.call(&call, self.dialect.decode_single).await?;
+        page.in_era(&call, era)
     }
 
-    /// Reads one key as it was up to some seconds ago, which costs the store less.
+    /// Reads one key as it was up to some seconds ago, which costs the store less. The
+    /// response may be from before the store was restored.
     ///
     /// # Errors
     ///
     /// As for [`Reader::get`].
     pub async fn get_stale(&self, key: &str) -> Result<Page> {
-        self.get_with(key, true).await
+        let call = self.get_call(key, true);
+        let transport = self.client.transport();
+        let (page, era) = transport
+            .call_in_era(&call, self.dialect.decode_single)
+            .await?;
+        page.in_era(&call, era)
     }
 
-    async fn get_with(&self, key: &str, allow_stale: bool) -> Result<Page> {
-        let call = Call {
+    fn get_call(&self, key: &str, allow_stale: bool) -> Call {
+        Call {
             step: "read",
             kind: Kind::Read,
             path: (self.dialect.get_path)(key, allow_stale).into(),
             body: None,
             wait: Duration::ZERO,
-        };
-        self.client.call(&call, self.dialect.decode_single).await
+            era_header: Some(self.dialect.era_header),
+        }
+    }
+
+    /// The revision before the first one of the latest era that is known.
+    pub(crate) fn first_revision(&self) -> Revision {
+        let era = self.era().unwrap_or_default();
+        Revision::new(era, 0).unwrap_or_default()
     }
 
     /// Waits for changes under a prefix after a revision, for at most `wait`.
@@ -170,28 +209,51 @@
     /// # Errors
     ///
     /// [`crate::Error::Compacted`] if the store no longer holds all changes since
-    /// that revision; otherwise as for [`Reader::page`].
+    /// that revision, or has been restored since; otherwise as for [`Reader::page`].
     pub async fn poll(&self, prefix: &str, after: u64, wait: Duration) -> Result<Batch> {
+        let after = Revision(after);
         let call = Call {
             step: "poll",
             kind: Kind::Watch,
-            path: (self.dialect.poll_path)(prefix, after, wait).into(),
+            path: (self.dialect.poll_path)(prefix, after.number(), wait).into(),
             body: None,
             wait,
+            era_header: Some(self.dialect.era_header),
         };
-        self.client.call(&call, self.dialect.decode_batch).await
+        if let Some(era) = self.era().filter(|era| *era > after.era()) {
+            return Err(restored(&call, era));
+        }
+        let (batch, era) = self.call(&call, self.dialect.decode_batch).await?;
+        // A restored store may have reached that revision again, with other changes.
+        match era.cmp(&after.era()) {
+            Ordering::Equal => batch.in_era(&call, era),
+            Ordering::Greater => Err(restored(&call, era)),
+            Ordering::Less => Err(unanswered(&call, era, "the copy is of a later era")),
+        }
     }
 
-    /// Grants a lease.
+    fn post_call(&self, step: &'static str, kind: Kind, post: Post) -> Call {
+        Call {
+            step,
+            kind,
+            path: post.path.into(),
+            body: Some(Payload::Json(post.body)),
+            wait: Duration::ZERO,
+            era_header: Some(self.dialect.era_header),
+        }
+    }
+
+    /// Grants a lease. It holds in the returned era only: after a restore, the store may
+    /// grant the same lease to another instance.
     ///
     /// # Errors
     ///
     /// After [`crate::Error::Unanswered`] an unused lease may exist; it holds no
     /// key and expires by itself.
-    pub async fn grant(&self, ttl: Duration) -> Result<Lease> {
+    pub async fn grant(&self, ttl: Duration) -> Result<(Lease, Era)> {
         let post = (self.dialect.grant_request)(ttl);
-        let call = post_call("lease grant", Kind::Lease, post);
-        self.client.call(&call, self.dialect.decode_lease).await
+        let call = self.post_call("lease grant", Kind::Lease, post);
+        self.call(&call, self.dialect.decode_lease).await
     }
 
     /// Writes a key attached to a lease.
@@ -203,11 +265,13 @@
     /// written until the lease expires.
     pub async fn put(&self, key: &str, value: &[u8], lease: Lease) -> Result<()> {
         let post = (self.dialect.put_request)(key, value, lease);
-        let call = post_call("put", Kind::Write, post);
-        self.client.call(&call, |_| Ok(())).await
+        let call = self.post_call("put", Kind::Write, post);
+        self.call(&call, |_| Ok(())).await?;
+        Ok(())
     }
 
-    /// Renews a lease.
+    /// Renews a lease. After the store has been restored, the lease may be another
+    /// instance's.
     ///
     /// # Errors
     ///
@@ -215,17 +279,52 @@
     /// the lease may have been renewed.
     pub async fn renew(&self, lease: Lease) -> Result<()> {
         let post = (self.dialect.renew_request)(lease);
-        let call = post_call("lease renewal", Kind::Lease, post);
-        self.client.call(&call, |_| Ok(())).await
+        let call = self.post_call("lease renewal", Kind::Lease, post);
+        self.call(&call, |_| Ok(())).await?;
+        Ok(())
+    }
+}
+
+impl Page {
+    /// Adds the era to the store's revisions.
+    fn in_era(mut self, call: &Call, era: Era) -> Result<Self> {
+        for entry in &mut self.entries {
+            entry.mod_revision = in_era(call, era, entry.mod_revision)?;
+        }
+        self.revision = in_era(call, era, self.revision)?;
+        Ok(self)
+    }
+}
+
+impl Batch {
+    /// Adds the era to the store's revisions.
+    fn in_era(mut self, call: &Call, era: Era) -> Result<Self> {
+        for change in &mut self.changes {
+            let revision = change.mod_revision_mut();
+            *revision = in_era(call, era, *revision)?;
+        }
+        self.revision = in_era(call, era, self.revision)?;
+        Ok(self)
+    }
+}
+
+fn in_era(call: &Call, era: Era, number: u64) -> Result<u64> {
+    let revision = Revision::new(era, number);
+    let revision = revision.ok_or_else(|| unanswered(call, era, "revision out of range"))?;
+    Ok(revision.0)
+}
+
+fn unanswered(call: &Call, era: Era, reason: &str) -> Error {
+    Error::Unanswered {
+        step: call.step,
+        peer: format!("era {era}"),
+        reason: reason.to_owned(),
     }
 }
 
-fn post_call(step: &'static str, kind: Kind, post: Post) -> Call {
-    Call {
-        step,
-        kind,
-        path: post.path.into(),
-        body: Some(Payload::Json(post.body)),
-        wait: Duration::ZERO,
+fn restored(call: &Call, era: Era) -> Error {
+    Error::Compacted {
+        step: call.step,
+        peer: format!("era {era}"),
     }
 }
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -98,6 +98,8 @@
     /// Time for which the store may delay its response, in addition to the call
     /// timeout.
     pub(crate) wait: Duration,
+    /// Header of the response with the store's [`Era`]; `None` for a store without eras.
+    pub(crate) era_header: Option<&'static str>,
 }
 
 impl Call {
@@ -110,6 +112,18 @@
         }
     }
 
+    /// The era of the store in the headers of a response; 0 if the store has none.
+    fn era(&self, response: &Response) -> std::result::Result<Era, String> {
+        let value = self
+            .era_header
+            .and_then(|name| response.headers().get(name));
+        let Some(value) = value else {
+            return Ok(Era::default());
+        };
+        let text = value.to_str().map_err(|error| error.to_string())?;
+        text.parse().map_err(|error: Error| error.to_string())
+    }
+
     /// Whether another address may be tried after this error.
     ///
     /// A write whose bytes may have been sent must not be sent again: the second
@@ -170,6 +184,11 @@
         *self.era.borrow()
     }
 
+    /// Notified when the store has been restored.
+    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<Era>> {
+        self.era.subscribe()
+    }
+
     /// Records an era of the store.
     pub(crate) fn record_era(&self, era: Era) {
         self.era.send_if_modified(|known| {
@@ -179,16 +198,6 @@
         });
     }
 
-    /// The era in the headers of a response; 0 if the store has none.
-    fn response_era(&self, response: &Response) -> std::result::Result<Era, String> {
-        let name = self.options.era_header;
-        let Some(value) = name.and_then(|name| response.headers().get(name)) else {
-            return Ok(Era::default());
-        };
-        let text = value.to_str().map_err(|error| error.to_string())?;
-        text.parse().map_err(|error: Error| error.to_string())
-    }
-
     pub(crate) fn counts(&self) -> &CallCounts {
         &self.counts
     }
@@ -203,6 +212,16 @@
         call: &Call,
         decode: fn(&[u8]) -> DecodeResult<T>,
     ) -> Result<T> {
+        let (value, _) = self.call_in_era(call, decode).await?;
+        Ok(value)
+    }
+
+    /// Makes a call; returns the era of its response as well.
+    pub(crate) async fn call_in_era<T>(
+        &self,
+        call: &Call,
+        decode: fn(&[u8]) -> DecodeResult<T>,
+    ) -> Result<(T, Era)> {
         let mut attempts_left = self.base_urls.len();
         loop {
             attempts_left -= 1;
@@ -263,10 +282,13 @@
         call: &Call,
         base: &BaseUrl,
         decode: fn(&[u8]) -> DecodeResult<T>,
-    ) -> Result<T> {
+    ) -> Result<(T, Era)> {
         let response = self.send(call, base).await?;
+        let era = call.era(&response);
+        let era = era.map_err(|reason| call.unanswered(base, reason))?;
         let body = self.read(call, base, response).await?;
-        decode(&body).map_err(|reason| call.unanswered(base, reason))
+        let value = decode(&body).map_err(|reason| call.unanswered(base, reason))?;
+        Ok((value, era))
     }
 
     /// Reads a response body for as long as bytes keep arriving.
@@ -336,7 +358,7 @@
                 call.unanswered(base, "timed out")
             })?
             .map_err(|e| send_error(call, base, &e))?;
-        if let Ok(era) = self.response_era(&response) {
+        if let Ok(era) = call.era(&response) {
             self.record_era(era);
         }
         check_status(call, base, response).await
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -8,6 +8,9 @@
 //! after small ones that were written later. Therefore the key's own revision decides
 //! which of two changes is newer, and what a subscriber has been sent is tracked by
 //! [`SequenceNumber`], the order of arrival.
+//!
+//! Revisions include the store's era, see [`Revision`]. A listing of a later era replaces
+//! everything, however low its numbers are.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,6 +32,8 @@
 use crate::id;
 use crate::platform::Change;
 use crate::platform::Entry;
+use crate::platform::Era;
+use crate::platform::Revision;
 use crate::platform::poll::UnreadableEntry;
 use crate::replica::CopyLog;
 use crate::replica::Member;
@@ -78,6 +83,11 @@
     /// A period of contact with the store; every change that the store had by its end has
     /// been reported.
     Contact(StoreContact),
+    /// The store has been restored from an older copy. A reset with all keys follows.
+    Restored {
+        /// The store's new era.
+        era: Era,
+    },
     /// The store does not respond; reported once per outage.
     StoreUnreachable {
         /// The first error.
@@ -162,10 +172,14 @@
         });
         let mut changes: Vec<Change> = deletions.collect();
         changes.extend(entries.iter().cloned().map(Change::Put));
+        let known_era = self.synced_revision.map(|synced| Revision(synced).era());
         // Every listed key exists, however old its last change is.
         self.pruned_revision = 0;
         let new_changes = self.apply(changes, revision);
         self.pruned_revision = revision;
+        if known_era.is_some_and(|era| era < Revision(revision).era()) {
+            self.prune_all();
+        }
         Some(new_changes)
     }
 
@@ -223,6 +237,15 @@
         self.pruned_revision = self.pruned_revision.max(revision);
     }
 
+    /// Makes every subscriber need a complete copy.
+    ///
+    /// After a restore of the store, a subscriber may hold keys that are lost and that this
+    /// copy never had, so the changes against this copy are not enough.
+    fn prune_all(&mut self) {
+        self.last_sequence.0 += 1;
+        self.pruned_sequence = self.last_sequence;
+    }
+
     /// Whether a subscriber that has everything up to this revision needs a complete
     /// copy.
     pub fn needs_full_copy(&self, revision: Option<u64>) -> bool {
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -23,7 +23,7 @@
 use crate::pacing::Backoff;
 use crate::platform::Change;
 use crate::platform::Entry;
-use crate::platform::Era;
+use crate::platform::Revision;
 use crate::platform::poll::Reader;
 use crate::platform::poll::UnreadableEntry;
 use crate::replica::KeyLayout;
@@ -117,8 +117,6 @@
     probe_pause: Duration,
     /// Whether the last poll brought changes.
     had_changes: bool,
-    /// Era of the store as last logged.
-    era: Option<Era>,
     /// Whether the store has dropped the history after the synced revision.
     is_compacted: bool,
     /// Polling state of the large value.
@@ -159,7 +157,6 @@
         store_state: StoreState::Reachable,
         probe_pause: PROBE_PAUSE.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
-        era: None,
         is_compacted: false,
         large: LargeValueState::default(),
         backoff: Backoff::new(options.backoff, options.seed),
@@ -228,10 +225,12 @@
             .outcomes
             .receive_from_upstream(now, update.outcomes);
         if let Some(received) = update.received {
-            info!(self.sources.log, "large value received"; "revision" => received.revision,
+            info!(self.sources.log, "large value received";
+                "revision" => %Revision(received.revision),
                 "bytes" => received.bytes, "took_ms" => received.transfer_time.as_millis() as u64);
         }
         let revision = update.revision;
+        self.sources.reader.record_era(Revision(revision).era());
         if update.is_full_copy {
             let entries = update
                 .changes
@@ -262,25 +261,7 @@
         Ok(())
     }
 
-    /// Logs that the store has been restored since the last call.
-    fn log_era(&mut self) {
-        let Some(era) = self.sources.reader.era() else {
-            return;
-        };
-        let previous = self.era.replace(era);
-        if let Some(previous) = previous.filter(|previous| *previous != era) {
-            info!(self.sources.log, "store restored"; "era" => era.0, "previous_era" => previous.0,
-                "copy_revision" => self.shared.synced_revision());
-        }
-    }
-
     async fn update_from_store(&mut self) -> Result<(), FollowEnd> {
-        let result = self.request_update_from_store().await;
-        self.log_era();
-        result
-    }
-
-    async fn request_update_from_store(&mut self) -> Result<(), FollowEnd> {
         match self.shared.synced_revision() {
             None => self.fetch_first_copy().await,
             Some(_) if self.is_compacted => {
@@ -315,11 +296,18 @@
         refused: Vec<UnreadableEntry>,
         revision: u64,
     ) -> Result<(), FollowEnd> {
+        let known = self.shared.synced_revision();
+        let known = known.map(Revision);
         if !self.shared.reset(&entries, revision) {
-            info!(self.sources.log, "listing older than the copy"; "revision" => revision,
-                "copy_revision" => self.shared.synced_revision());
+            info!(self.sources.log, "listing older than the copy";
+                "revision" => %Revision(revision),
+                "copy_revision" => known.as_ref().map(ToString::to_string));
             return Ok(());
         }
+        let era = Revision(revision).era();
+        if known.is_some_and(|known| known.era() < era) {
+            self.sender.send(Update::Restored { era }).await?;
+        }
         self.members.clear();
         self.upstreams = None;
         self.has_new_members = true;
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -418,7 +418,10 @@
     let page: Page = match reader.get(key).await {
         Ok(page) => page,
         // The deletion was written as a change, which a poll returns.
-        Err(Error::Refused { .. }) => return reader.poll(key, 0, Duration::ZERO).await,
+        Err(Error::Refused { .. }) => {
+            let first = reader.first_revision();
+            return reader.poll(key, first.0, Duration::ZERO).await;
+        }
         Err(error) => return Err(error),
     };
     let changes = page.entries.into_iter().map(crate::platform::Change::Put);
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::pacing::BackoffBounds;
+use crate::platform::Revision;
 use crate::replica::FirstCopyPlan;
 use crate::replica::Member;
 use crate::replica::Roster;
@@ -98,7 +99,8 @@
 
     /// Applies the copy that a search has found while the store did not respond.
     async fn apply_found_copy(&mut self, update: UpstreamUpdate) -> Result<(), FollowEnd> {
-        info!(self.sources.log, "copy of another instance taken"; "revision" => update.revision,
+        info!(self.sources.log, "copy of another instance taken";
+            "revision" => %Revision(update.revision),
             "age_ms" => update.age.map(|age| age.as_millis() as u64));
         // Until the store responds, an upstream with an old copy is as good as any other.
         self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause);
--- a/src/replica/publish.rs
+++ b/src/replica/publish.rs
@@ -21,6 +21,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::platform::Revision;
 use crate::replica::CopyPart;
 use crate::replica::CopyPosition;
 use crate::replica::NextPart;
@@ -134,7 +135,7 @@
     log: &Logger,
 ) -> Result<()> {
     info!(log, "subscriber joined"; "subscriber" => &subscribe.instance,
-        "peer" => %peer, "horizon" => subscribe.synced_revision, "held" => subscribe.held.len());
+        "peer" => %peer, "horizon" => subscribe.synced_revision.map(|revision| Revision(revision).to_string()), "held" => subscribe.held.len());
     remember_copy_holder(subscribe, shared, log);
     let mut subscribe = subscribe.clone();
     if subscribe.accepts_copy_parts {
--- a/src/replica/register.rs
+++ b/src/replica/register.rs
@@ -15,6 +15,7 @@
 use crate::error::Result;
 use crate::id;
 use crate::pacing::Backoff;
+use crate::platform::Era;
 use crate::platform::Lease;
 use crate::platform::poll::Reader;
 use crate::replica::Bandwidth;
@@ -86,8 +87,8 @@
     loop {
         match registration.register_and_renew(&mut backoff).await {
             Ok(never) => match never {},
-            // A lease can expire while its holder is running: the entry is then written
-            // again.
+            // A lease can expire while its holder is running, or be lost when the store is
+            // restored: the entry is then written again.
             Err(Error::Refused { reason, .. }) => {
                 info!(registration.log, "registration lapsed"; "reason" => reason);
             }
@@ -99,10 +100,25 @@
     }
 }
 
+/// Waits until the store is restored after this era.
+async fn wait_for_restore(reader: &Reader, era: Era) -> Error {
+    let mut eras = reader.watch_era();
+    // The sender lives as long as the reader.
+    let restored = eras.wait_for(|latest| *latest > Some(era)).await;
+    Error::Refused {
+        step: "registration",
+        peer: format!("era {era}"),
+        reason: match restored {
+            Ok(_) => "the store has been restored".to_owned(),
+            Err(error) => error.to_string(),
+        },
+    }
+}
+
 impl Registration {
     /// Registers and renews the registration until an error occurs.
     async fn register_and_renew(&self, backoff: &mut Backoff) -> Result<std::convert::Infallible> {
-        let lease = self.reader.grant(LEASE_TTL).await?;
+        let (lease, era) = self.reader.grant(LEASE_TTL).await?;
         let key = key(&self.member);
         let value = serde_json::to_vec(&self.member).map_err(|error| Error::Decode {
             step: "registration",
@@ -113,8 +129,10 @@
         backoff.reset();
         info!(self.log, "registered"; "lease" => lease.0);
         loop {
-            time::sleep(RENEW_INTERVAL).await;
-            self.renew(lease).await?;
+            tokio::select! {
+                () = time::sleep(RENEW_INTERVAL) => self.renew(lease).await?,
+                restored = wait_for_restore(&self.reader, era) => return Err(restored),
+            }
         }
     }
 
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -11,6 +11,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::platform::Entry;
+use crate::platform::Revision;
 use crate::platform::poll::Reader;
 use crate::platform::poll::UnreadableEntry;
 
@@ -65,7 +66,8 @@
 }
 
 /// Reads all pages. Together they are no snapshot, so polling continues from the
-/// revision of the first page, and changes since then are received again.
+/// revision of the first page, and changes since then are received again. Pages of
+/// different eras have no order, and the listing is then rejected.
 pub(crate) async fn list(reader: &Reader, prefix: &str) -> Result<Listing> {
     list_each(reader, prefix, |_| {}).await
 }
@@ -88,6 +90,12 @@
     let mut after = first.next;
     while let Some(key) = after {
         let page = reader.page(prefix, Some(&key)).await?;
+        if Revision(page.revision).era() != Revision(first.revision).era() {
+            return Err(Error::Compacted {
+                step: "list",
+                peer: prefix.to_owned(),
+            });
+        }
         on_page(&page.entries);
         listing.entries.extend(page.entries);
         listing.refused.extend(page.unreadable);
--- a/tests/flow/gone.rs
+++ b/tests/flow/gone.rs
@@ -1,6 +1,7 @@
 //! Servers that stop, crash, or only seem to be gone.
 
 use godwitreel::flow::Incarnation;
+use godwitreel::flow::Serial;
 use godwitreel::flow::Server;
 use godwitreel::flow::StateUpdate;
 use godwitreel::flow::StoreContact;
@@ -160,6 +161,64 @@
     assert_eq!(forwarded(verdict), target);
 }
 
+// Guards against new flows to a draining server that a restored store lists as it was
+// before.
+#[test]
+fn an_older_entry_does_not_undo_a_drain() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    plane.apply(now, StateUpdate::Server(server(2, "dispatch", REMOTE)));
+    plane.apply(now, StateUpdate::Server(draining(1, "dispatch", LOCAL)));
+    let listed = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", REMOTE)];
+    let unreadable = Vec::new();
+    plane.apply(now, StateUpdate::StoreRestored);
+    plane.apply(now, StateUpdate::Servers { listed, unreadable });
+    for port in 2..10 {
+        let verdict = plane.receive(now + ms(1), &Caller::new(port, BOOKINGS).opening(0), b"");
+        assert_eq!(forwarded(verdict).serial, Serial(2));
+    }
+}
+
+// Guards against flows that are reset for an entry which the restore has lost and which its
+// server is still writing again.
+#[test]
+fn an_entry_lost_by_a_restore_has_the_full_time_to_return() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    let lapsed = StateUpdate::ServerRemoved("s-1".parse().unwrap());
+    plane.apply(now + ms(100), lapsed);
+    stay_in_contact(&mut plane, now, now + ms(2_000));
+    plane.apply(now + ms(2_000), StateUpdate::StoreRestored);
+    let (listed, unreadable) = (Vec::new(), Vec::new());
+    plane.apply(now + ms(2_000), StateUpdate::Servers { listed, unreadable });
+    stay_in_contact(&mut plane, now + ms(2_000), now + ms(4_400));
+    let verdict = plane.receive(now + ms(4_400), &caller.data(100, target.tag), b"");
+    assert_eq!(forwarded(verdict), target);
+    stay_in_contact(&mut plane, now + ms(4_400), now + ms(4_800));
+    let verdict = plane.receive(now + ms(4_800), &caller.data(200, target.tag), b"");
+    assert!(matches!(verdict, Verdict::Reset), "{verdict:?}");
+}
+
+// A server that starts again under its name is not the one that drained.
+#[test]
+fn a_new_incarnation_of_a_drained_server_gets_flows() {
+    let now = Instant::now();
+    let incarnation = |number, server| Server {
+        incarnation: Some(Incarnation(number)),
+        ..server
+    };
+    let former = incarnation(1, server(1, "dispatch", LOCAL));
+    let mut plane = plane(now, vec![former]);
+    let former = incarnation(1, draining(1, "dispatch", LOCAL));
+    plane.apply(now, StateUpdate::Server(former));
+    let next = incarnation(2, server(1, "dispatch", LOCAL));
+    plane.apply(now, StateUpdate::Server(next));
+    let verdict = plane.receive(now + ms(1), &Caller::new(2, BOOKINGS).opening(0), b"");
+    assert_eq!(forwarded(verdict).serial, Serial(1));
+}
+
 // An entry lapses just as the store becomes unreachable, which has not been detected yet:
 // the replica only becomes stale. Its age alone proves nothing, so that the open flow
 // continues.
--- a/tests/replication/main.rs
+++ b/tests/replication/main.rs
@@ -4,6 +4,7 @@
 mod board;
 mod copy;
 mod copy_log;
+mod era;
 mod parcels;
 mod restart;
 mod rows;
