The soak restores its store from older copies

The store keeps a copy of some seconds before, goes silent, comes back with it in a later era, and operators and servers write again what they had written. Drawn by a generator of its own, so that the faults of known seeds stay.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -37,6 +37,8 @@
     Compact,
     /// The store revokes all leases.
     Revoke,
+    /// The store does not answer for a while and comes back from an older copy.
+    Restore(Restore),
     /// A backend server crashes; its entry is deleted later, and another server starts.
     Crash(u8),
     /// A backend server drains and stops; another one starts.
@@ -50,6 +52,17 @@
     Evacuate(u8, u64),
 }
 
+/// Times of a restore of the store, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restore {
+    /// Age of the copy when the store goes away.
+    pub age: u64,
+    /// How long the store does not answer.
+    pub away: u64,
+    /// Time from its return until operators and servers write again what they had written.
+    pub again: u64,
+}
+
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
@@ -137,6 +150,30 @@
     }
 }
 
+/// Draws the restores of a run, which do not overlap, ordered by time. They have a random
+/// generator of their own, so that they do not change the faults of a seed.
+pub fn draw_restores(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut restores = Vec::new();
+    let mut at = random.random_range(200..3_000);
+    loop {
+        let restore = Restore {
+            age: random.random_range(50..4_000),
+            away: random.random_range(50..2_500),
+            again: random.random_range(0..1_500),
+        };
+        let length_ms = restore.age + restore.away + restore.again;
+        if Duration::from_millis(at + length_ms) >= length {
+            return restores;
+        }
+        restores.push(Fault {
+            at: Duration::from_millis(at),
+            kind: Kind::Restore(restore),
+        });
+        at += length_ms + random.random_range(200..6_000);
+    }
+}
+
 /// Whether some instances may miss updates during this fault, so that an update is
 /// worth checking.
 fn may_delay_updates(kind: Kind) -> bool {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -106,6 +106,7 @@
             port: 7_000,
         },
         evacuates: true,
+        restores: true,
     };
     // Dropping the runtime ends all tasks of the run and closes their sockets.
     let runtime = Runtime::new().map_err(|error| Error::Process {
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -27,6 +27,7 @@
 use crate::fault;
 use crate::fault::Fault;
 use crate::fault::Kind;
+use crate::fault::Restore;
 use crate::ledger::Ledger;
 use crate::ledger::PROPAGATION_BOUND;
 use crate::ledger::Summary;
@@ -99,6 +100,8 @@
     pub plan: AddressPlan,
     /// Whether zones are evacuated in addition to the faults.
     pub evacuates: bool,
+    /// Whether the store is restored from older copies in addition to the faults.
+    pub restores: bool,
 }
 
 struct Testbed {
@@ -146,8 +149,11 @@
     let mut faults = fault::draw(testbed.options.seed, fault_period);
     if testbed.options.evacuates {
         faults.extend(fault::draw_evacuations(testbed.options.seed, fault_period));
-        faults.sort_by_key(|fault| fault.at);
     }
+    if testbed.options.restores {
+        faults.extend(fault::draw_restores(testbed.options.seed, fault_period));
+    }
+    faults.sort_by_key(|fault| fault.at);
     let begin = Instant::now();
     for fault in faults {
         let until = begin + fault.at;
@@ -328,6 +334,7 @@
             Kind::Lapse(ms) => self.lapse_entries(Duration::from_millis(ms)).await,
             Kind::Compact => self.compact().await,
             Kind::Revoke => self.store.revoke(),
+            Kind::Restore(restore) => self.restore_store(restore).await,
             Kind::Crash(target) => self.crash_server(target).await,
             Kind::Drain(target) => self.drain_server(target).await,
             Kind::Route => self.toggle_route().await,
@@ -425,6 +432,23 @@
         self.ledger.mark_store_disturbed(FAULT_MARGIN);
     }
 
+    /// Makes the store come back from a copy that it made some time before.
+    async fn restore_store(&self, restore: Restore) {
+        let backup = self.store.backup();
+        time::sleep(Duration::from_millis(restore.age)).await;
+        let away = Duration::from_millis(restore.away);
+        let again = Duration::from_millis(restore.again);
+        self.ledger
+            .mark_store_disturbed(away + again + FAULT_MARGIN);
+        self.store.set_mode(Mode::Silent);
+        time::sleep(away).await;
+        self.store.restore(&backup);
+        self.store.set_mode(Mode::Up);
+        time::sleep(again).await;
+        self.store.write_again();
+        self.ledger.mark_store_disturbed(FAULT_MARGIN);
+    }
+
     /// Removes a server from the list if another one remains: each route keeps a server,
     /// in each zone if zones are evacuated.
     async fn take_removable_server(&self, target: u8) -> Option<Backend> {
