Order the daemon's platform by era as well

The same class of fault in the other plane: a follower took a restored store for a lagging address until its revisions had passed the known ones, a compare-and-swap could match a revision that had been assigned to another write, a lease could be renewed that was another instance's, rows of the slice table that the restore had lost stayed lost in the store, and a lost revision of a profile hid the one that was written in its place.

`platform_era_header`, in the settings of daemon and tool, names the header with the era. Swaps of an earlier era are not sent, watches of another era end, instances register again, and lost rows are written again. The stand-in's store can be restored from a copy.

--- a/src/bin/godwitreel/config.rs
+++ b/src/bin/godwitreel/config.rs
@@ -8,6 +8,7 @@
 use godwitreel::Result;
 use godwitreel::id;
 use godwitreel::platform::BaseUrl;
+use godwitreel::platform::EraHeader;
 use godwitreel::render::Output;
 use godwitreel::settings;
 use serde::Deserialize;
@@ -25,6 +26,9 @@
 struct SettingsFile {
     /// Addresses of the platform's service, all of one store.
     platform: Vec<BaseUrl>,
+    /// Header of the platform's responses with the number of times that its store has been
+    /// restored.
+    platform_era_header: Option<EraHeader>,
     /// Name recorded with each change.
     operator: Option<id::Operator>,
     /// Status addresses that are queried even if the platform is unreachable.
@@ -36,6 +40,7 @@
 /// Effective settings of this run.
 pub(crate) struct Config {
     pub(crate) platform: Vec<BaseUrl>,
+    pub(crate) platform_era_header: Option<EraHeader>,
     pub(crate) operator: Option<id::Operator>,
     pub(crate) instances: BTreeMap<id::Instance, id::Endpoint>,
     pub(crate) instance_timeout: Duration,
@@ -62,6 +67,7 @@
         }
         Ok(Self {
             platform,
+            platform_era_header: file.platform_era_header,
             operator: common.operator.clone().or(file.operator),
             instances: file.instances,
             instance_timeout: Duration::from_millis(timeout_ms),
--- a/src/bin/godwitreel/run.rs
+++ b/src/bin/godwitreel/run.rs
@@ -78,6 +78,10 @@
         ..Options::default()
     };
     let client = Client::new(config.platform()?, options)?;
+    let client = match &config.platform_era_header {
+        Some(header) => client.with_era_header(header.clone()),
+        None => client,
+    };
     Fleet::new(client, config.instances.clone(), config.instance_timeout)
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -49,6 +49,8 @@
 #[derive(Clone, Debug)]
 struct DocumentInForce<T> {
     revision: id::Revision,
+    /// The write that created this revision.
+    write_id: String,
     body: Arc<T>,
 }
 
@@ -385,20 +387,24 @@
     serde_json::from_slice(value).map_err(|error| error.to_string())
 }
 
-/// Replaces a document in force if the revision of the new one is greater.
+/// Replaces a document in force unless the revision of the new one is lower.
 fn replace_if_newer<I: Ord, T>(
     known: &mut BTreeMap<I, DocumentInForce<T>>,
     id: I,
     envelope: Envelope<T>,
 ) {
-    let current = known.get(&id).map(|known| known.revision);
     // A late watch event, a stale read or an outdated peer must not revert an
-    // accepted change.
-    if current.is_some_and(|current| current >= envelope.revision) {
+    // accepted change. A restored store may assign a lost revision to another write.
+    let is_known = |known: &DocumentInForce<T>| {
+        let is_same_write = known.write_id == envelope.write_id;
+        known.revision > envelope.revision || known.revision == envelope.revision && is_same_write
+    };
+    if known.get(&id).is_some_and(is_known) {
         return;
     }
     let document = DocumentInForce {
         revision: envelope.revision,
+        write_id: envelope.write_id,
         body: Arc::new(envelope.body),
     };
     known.insert(id, document);
--- a/src/control.rs
+++ b/src/control.rs
@@ -132,6 +132,9 @@
     /// Version that a write with unknown result was to replace; that write may still take
     /// effect.
     unresolved_write: Option<Option<u64>>,
+    /// Whether the platform's document has older rows than the table. Its store was restored
+    /// from an older copy, and an instance that starts would believe these rows.
+    is_outdated: bool,
 }
 
 /// A copy of a slice to a new backup.
@@ -242,8 +245,16 @@
         }
     }
 
-    /// Removes registrations that the platform no longer lists.
+    /// Removes registrations that the platform no longer lists, and marks documents that a
+    /// restore of its store has lost.
     pub fn retain(&mut self, keep: &BTreeSet<&str>) {
+        for (number, state) in self.documents.iter_mut().enumerate() {
+            let is_listed = keep.contains(format!("{SLICES_PREFIX}{number}").as_str());
+            if state.version.is_some() && !is_listed {
+                state.version = None;
+                state.is_outdated = true;
+            }
+        }
         self.registered
             .retain(|name, _| keep.contains(format!("{INSTANCES}{name}").as_str()));
     }
@@ -264,9 +275,15 @@
         state.version = Some(entry.mod_revision);
         state.unresolved_write = None;
         let first = number * ROWS_PER_DOCUMENT;
+        let mut is_outdated = false;
         for (index, row) in document.rows.into_iter().enumerate() {
-            self.apply_row(now, id::Slice(first + index as u32), row);
+            let slice = id::Slice(first + index as u32);
+            let epoch = row.epoch;
+            self.apply_row(now, slice, row);
+            let known = self.table.get(slice).map(|known| known.epoch);
+            is_outdated |= known > Some(epoch);
         }
+        self.documents[number as usize].is_outdated = is_outdated;
     }
 
     fn apply_row(&mut self, now: Instant, slice: id::Slice, row: Row) {
@@ -379,6 +396,7 @@
         match result {
             WriteResult::Done(version) => {
                 state.unresolved_write = None;
+                state.is_outdated = false;
                 if state.version.is_none_or(|known| known < version) {
                     state.version = Some(version);
                     for (slice, row) in rows {
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -260,7 +260,7 @@
             // Any later write resolves a write with unknown result.
             let must_resolve =
                 state.unresolved_write == Some(state.version) && state.version.is_some();
-            if changes.is_empty() && !must_resolve {
+            if changes.is_empty() && !must_resolve && !state.is_outdated {
                 continue;
             }
             let expected = state.version;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -98,6 +98,10 @@
         ..platform::Options::default()
     };
     let client = Client::new(settings.platform.clone(), options)?;
+    let client = match &settings.platform_era_header {
+        Some(header) => client.with_era_header(header.clone()),
+        None => client,
+    };
     let metrics = Arc::new(Metrics::new(client.clone()));
     let link = Arc::new(Link::new(
         me.clone(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -39,6 +39,7 @@
 pub use crate::platform::follow::follow;
 pub use crate::platform::resolution::ResolvedWrite;
 pub use crate::platform::revision::Era;
+pub use crate::platform::revision::EraHeader;
 pub use crate::platform::revision::Revision;
 
 /// Base address of the platform's service: `http://IP:PORT`.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -10,13 +10,15 @@
 use crate::platform::CallCounts;
 use crate::platform::Change;
 use crate::platform::Entry;
+use crate::platform::Era;
+use crate::platform::EraHeader;
 use crate::platform::Lease;
 use crate::platform::Listing;
 use crate::platform::Options;
+use crate::platform::Revision;
 use crate::platform::SwapOutcome;
 use crate::platform::call;
 use crate::platform::gateway;
-use crate::platform::gateway::DecodeResult;
 use crate::platform::transport::Call;
 use crate::platform::transport::Kind;
 use crate::platform::transport::Payload;
@@ -28,6 +30,8 @@
 #[derive(Clone)]
 pub struct Client {
     transport: Arc<Transport>,
+    /// Header of the responses with the store's era.
+    era_header: Option<EraHeader>,
 }
 
 impl Client {
@@ -38,7 +42,23 @@
     /// Fails if there is no address or the HTTP client cannot be created.
     pub fn new(bases: Vec<BaseUrl>, options: Options) -> Result<Self> {
         let transport = Arc::new(Transport::new(bases, options)?);
-        Ok(Self { transport })
+        Ok(Self {
+            transport,
+            era_header: None,
+        })
+    }
+
+    /// Reads the store's [`Era`] from this header of its responses. Without it, all
+    /// responses are of one era.
+    #[must_use]
+    pub fn with_era_header(self, name: EraHeader) -> Self {
+        let era_header = Some(name);
+        Self { era_header, ..self }
+    }
+
+    /// The latest era of the store that is known; `None` before the first response.
+    pub fn era(&self) -> Option<Era> {
+        self.transport.era()
     }
 
     /// Counters of calls and failures.
@@ -46,6 +66,11 @@
         self.transport.counts()
     }
 
+    /// Waits until the store is known to have been restored after this era.
+    pub(crate) async fn wait_for_restore(&self, era: Era) {
+        self.transport.wait_for_restore(era).await;
+    }
+
     pub(crate) fn transport(&self) -> Arc<Transport> {
         Arc::clone(&self.transport)
     }
@@ -69,7 +94,7 @@
     /// Fails if no address responds or the rate limit is exceeded.
     pub async fn get(&self, key: &str) -> Result<Option<Entry>> {
         let body = call::single_key_request(key);
-        let listing = self.read("get", body, gateway::listing).await?;
+        let listing = self.read_listing("get", body).await?;
         Ok(listing.entries.into_iter().next())
     }
 
@@ -79,13 +104,53 @@
     ///
     /// Fails if no address responds or the rate limit is exceeded.
     pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        let body = call::list_request(prefix);
-        self.read("list", body, gateway::listing).await
+        self.read_listing("list", call::list_request(prefix)).await
+    }
+
+    async fn read_listing(&self, step: &'static str, body: call::Body) -> Result<Listing> {
+        let call = self.read_call(step, body);
+        let (mut listing, era) = self.transport.call(&call, gateway::listing).await?;
+        for entry in &mut listing.entries {
+            entry.mod_revision = call.in_era(era, entry.mod_revision)?;
+        }
+        listing.revision = call.in_era(era, listing.revision)?;
+        Ok(listing)
     }
 
     pub(crate) async fn probe(&self, prefix: &str) -> Result<gateway::Probe> {
-        let body = call::probe_request(prefix);
-        self.read("probe", body, gateway::probe).await
+        let call = self.read_call("probe", call::probe_request(prefix));
+        let (mut probe, era) = self.transport.call(&call, gateway::probe).await?;
+        probe.revision = call.in_era(era, probe.revision)?;
+        // An empty prefix has no latest revision.
+        if probe.latest_mod_revision > 0 {
+            probe.latest_mod_revision = call.in_era(era, probe.latest_mod_revision)?;
+        }
+        Ok(probe)
+    }
+
+    /// Sends a write that compares with a revision.
+    ///
+    /// After a restore, the store may have assigned the revision to another write. Then
+    /// nothing is sent.
+    async fn swap(&self, call: &Call, expected: Option<u64>) -> Result<SwapOutcome> {
+        let expected = expected.map(|revision| Revision(revision).era());
+        if let (Some(expected), Some(era)) = (expected, self.era())
+            && expected < era
+        {
+            return Err(call.restored(era));
+        }
+        let (outcome, era) = self.transport.call(call, gateway::swap_outcome).await?;
+        if expected.is_some_and(|expected| expected != era) {
+            return Err(call.outdated(era, "the store was restored meanwhile"));
+        }
+        Ok(match outcome {
+            SwapOutcome::Done(revision) => SwapOutcome::Done(call.in_era(era, revision)?),
+            SwapOutcome::Lost(None) => SwapOutcome::Lost(None),
+            SwapOutcome::Lost(Some(mut entry)) => {
+                entry.mod_revision = call.in_era(era, entry.mod_revision)?;
+                SwapOutcome::Lost(Some(entry))
+            }
+        })
     }
 
     /// Writes a key if its `mod_revision` is `expected`, or if the key does not
@@ -103,16 +168,17 @@
         value: &[u8],
         lease: Option<Lease>,
     ) -> Result<SwapOutcome> {
-        let body = call::compare_and_swap(key, expected, value, lease);
+        let number = expected.map(|revision| Revision(revision).number());
+        let body = call::compare_and_swap(key, number, value, lease);
         let call = Call {
             step: "swap",
             kind: Kind::Write,
             path: "/v3/kv/txn".into(),
             body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        self.transport.call(&call, gateway::swap_outcome).await
+        self.swap(&call, expected).await
     }
 
     /// Deletes a key if its `mod_revision` is `expected`.
@@ -126,12 +192,13 @@
             kind: Kind::Write,
             path: "/v3/kv/txn".into(),
             body: Some(Payload::Gateway(Box::new(call::compare_and_delete(
-                key, expected,
+                key,
+                Revision(expected).number(),
             )))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        self.transport.call(&call, gateway::swap_outcome).await
+        self.swap(&call, Some(expected)).await
     }
 
     /// Deletes a key and returns whether it existed.
@@ -146,9 +213,10 @@
             path: "/v3/kv/deleterange".into(),
             body: Some(Payload::Gateway(Box::new(call::single_key_request(key)))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        self.transport.call(&call, gateway::deletion).await
+        let (result, _) = self.transport.call(&call, gateway::deletion).await?;
+        Ok(result)
     }
 
     /// Grants a lease; `ttl` is cut to whole seconds.
@@ -166,9 +234,10 @@
                 ttl.as_secs(),
             )))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        self.transport.call(&call, gateway::grant).await
+        let (result, _) = self.transport.call(&call, gateway::grant).await?;
+        Ok(result)
     }
 
     /// Renews a lease and returns its remaining time, which is zero if the lease
@@ -184,9 +253,9 @@
             path: "/v3/lease/keepalive".into(),
             body: Some(Payload::Gateway(Box::new(call::lease_request(lease)))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        let seconds = self.transport.call(&call, gateway::keepalive).await?;
+        let (seconds, _) = self.transport.call(&call, gateway::keepalive).await?;
         Ok(Duration::from_secs(seconds))
     }
 
@@ -202,50 +271,46 @@
             path: "/v3/lease/revoke".into(),
             body: Some(Payload::Gateway(Box::new(call::lease_request(lease)))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        self.transport.call(&call, gateway::revocation).await
+        let (result, _) = self.transport.call(&call, gateway::revocation).await?;
+        Ok(result)
     }
 
     /// Watches a prefix, starting with the changes of `from_revision`.
     ///
     /// The first batch is empty and confirms that the watch is established. The
     /// stream ends with its first error; the end of the connection is an error,
-    /// too. A connection that stops delivering data causes no error, which is why
+    /// too, and so is a store of another era than the revision's. A connection that stops delivering data causes no error, which is why
     /// [`crate::platform::follow()`] probes the store.
     pub fn watch(
         &self,
         prefix: &str,
         from_revision: u64,
     ) -> impl Stream<Item = Result<Vec<Change>>> + Send + 'static {
+        let from = Revision(from_revision);
         let call = Call {
             step: "watch",
             kind: Kind::Watch,
             path: "/v3/watch".into(),
             body: Some(Payload::Gateway(Box::new(call::watch_request(
                 prefix,
-                from_revision,
+                from.number(),
             )))),
             wait: Duration::ZERO,
-            era_header: None,
+            era_header: self.era_header.clone(),
         };
-        watch::stream(Arc::clone(&self.transport), call)
+        watch::stream(Arc::clone(&self.transport), call, from.era())
     }
 
-    async fn read<T>(
-        &self,
-        step: &'static str,
-        body: call::Body,
-        decode: fn(&[u8]) -> DecodeResult<T>,
-    ) -> Result<T> {
-        let call = Call {
+    fn read_call(&self, step: &'static str, body: call::Body) -> Call {
+        Call {
             step,
             kind: Kind::Read,
             path: "/v3/kv/range".into(),
             body: Some(Payload::Gateway(Box::new(body))),
             wait: Duration::ZERO,
-            era_header: None,
-        };
-        self.transport.call(&call, decode).await
+            era_header: self.era_header.clone(),
+        }
     }
 }
--- a/src/platform/poll.rs
+++ b/src/platform/poll.rs
@@ -9,14 +9,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::sync::watch;
 
-use crate::error::Error;
 use crate::error::Result;
 use crate::platform::Change;
 use crate::platform::Client;
 use crate::platform::Entry;
 use crate::platform::Era;
+use crate::platform::EraHeader;
 use crate::platform::Lease;
 use crate::platform::Revision;
 use crate::platform::gateway::DecodeResult;
@@ -70,8 +69,8 @@
 /// Encoders of a store's requests and decoders of its responses.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
-    /// Header of each response with the store's [`crate::platform::Era`], which increases
-    /// when the store is restored from an older copy.
+    /// Header of each response, in lower case, with the store's [`crate::platform::Era`],
+    /// which increases when the store is restored from an older copy.
     pub era_header: &'static str,
     /// Path and query of a listing, which begins after the key `after` if given.
     pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
@@ -119,9 +118,9 @@
         &self.client
     }
 
-    /// Notified when the store has been restored.
-    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<Era>> {
-        self.client.transport().watch_era()
+    /// Waits until the store is known to have been restored after this era.
+    pub(crate) async fn wait_for_restore(&self, era: Era) {
+        self.client.wait_for_restore(era).await;
     }
 
     /// Records an era that another instance has learned of.
@@ -129,15 +128,6 @@
         self.client.transport().record_era(era);
     }
 
-    /// Makes a call whose response must not be older than the latest era that is known.
-    async fn call<T>(&self, call: &Call, decode: fn(&[u8]) -> DecodeResult<T>) -> Result<(T, Era)> {
-        let (value, era) = self.client.transport().call_in_era(call, decode).await?;
-        if self.era() > Some(era) {
-            return Err(unanswered(call, era, "the store has been restored since"));
-        }
-        Ok((value, era))
-    }
-
     /// Reads one page of a prefix, which begins after the key `after` if given.
     ///
     /// # Errors
@@ -154,9 +144,13 @@
             path: (self.dialect.list_path)(prefix, after).into(),
             body: None,
             wait: Duration::ZERO,
-            era_header: Some(self.dialect.era_header),
+            era_header: Some(EraHeader::from_static(self.dialect.era_header)),
         };
-        let (page, era) = self.call(&call, self.dialect.decode_page).await?;
+        let (page, era) = self
+            .client
+            .transport()
+            .call(&call, self.dialect.decode_page)
+            .await?;
         page.in_era(&call, era)
     }
 
@@ -168,7 +162,11 @@
     /// [`Reader::page`].
     pub async fn get(&self, key: &str) -> Result<Page> {
         let call = self.get_call(key, false);
-        let (page, era) = self.call(&call, self.dialect.decode_single).await?;
+        let (page, era) = self
+            .client
+            .transport()
+            .call(&call, self.dialect.decode_single)
+            .await?;
         page.in_era(&call, era)
     }
 
@@ -182,7 +180,7 @@
         let call = self.get_call(key, true);
         let transport = self.client.transport();
         let (page, era) = transport
-            .call_in_era(&call, self.dialect.decode_single)
+            .call_stale(&call, self.dialect.decode_single)
             .await?;
         page.in_era(&call, era)
     }
@@ -194,7 +192,7 @@
             path: (self.dialect.get_path)(key, allow_stale).into(),
             body: None,
             wait: Duration::ZERO,
-            era_header: Some(self.dialect.era_header),
+            era_header: Some(EraHeader::from_static(self.dialect.era_header)),
         }
     }
 
@@ -218,17 +216,21 @@
             path: (self.dialect.poll_path)(prefix, after.number(), wait).into(),
             body: None,
             wait,
-            era_header: Some(self.dialect.era_header),
+            era_header: Some(EraHeader::from_static(self.dialect.era_header)),
         };
         if let Some(era) = self.era().filter(|era| *era > after.era()) {
-            return Err(restored(&call, era));
+            return Err(call.restored(era));
         }
-        let (batch, era) = self.call(&call, self.dialect.decode_batch).await?;
+        let (batch, era) = self
+            .client
+            .transport()
+            .call(&call, self.dialect.decode_batch)
+            .await?;
         // A restored store may have reached that revision again, with other changes.
         match era.cmp(&after.era()) {
             Ordering::Equal => batch.in_era(&call, era),
-            Ordering::Greater => Err(restored(&call, era)),
-            Ordering::Less => Err(unanswered(&call, era, "the copy is of a later era")),
+            Ordering::Greater => Err(call.restored(era)),
+            Ordering::Less => Err(call.outdated(era, "the copy is of a later era")),
         }
     }
 
@@ -239,7 +241,7 @@
             path: post.path.into(),
             body: Some(Payload::Json(post.body)),
             wait: Duration::ZERO,
-            era_header: Some(self.dialect.era_header),
+            era_header: Some(EraHeader::from_static(self.dialect.era_header)),
         }
     }
 
@@ -253,7 +255,10 @@
     pub async fn grant(&self, ttl: Duration) -> Result<(Lease, Era)> {
         let post = (self.dialect.grant_request)(ttl);
         let call = self.post_call("lease grant", Kind::Lease, post);
-        self.call(&call, self.dialect.decode_lease).await
+        self.client
+            .transport()
+            .call(&call, self.dialect.decode_lease)
+            .await
     }
 
     /// Writes a key attached to a lease.
@@ -266,7 +271,7 @@
     pub async fn put(&self, key: &str, value: &[u8], lease: Lease) -> Result<()> {
         let post = (self.dialect.put_request)(key, value, lease);
         let call = self.post_call("put", Kind::Write, post);
-        self.call(&call, |_| Ok(())).await?;
+        self.client.transport().call(&call, |_| Ok(())).await?;
         Ok(())
     }
 
@@ -280,7 +285,7 @@
     pub async fn renew(&self, lease: Lease) -> Result<()> {
         let post = (self.dialect.renew_request)(lease);
         let call = self.post_call("lease renewal", Kind::Lease, post);
-        self.call(&call, |_| Ok(())).await?;
+        self.client.transport().call(&call, |_| Ok(())).await?;
         Ok(())
     }
 }
@@ -289,9 +294,9 @@
     /// Adds the era to the store's revisions.
     fn in_era(mut self, call: &Call, era: Era) -> Result<Self> {
         for entry in &mut self.entries {
-            entry.mod_revision = in_era(call, era, entry.mod_revision)?;
+            entry.mod_revision = call.in_era(era, entry.mod_revision)?;
         }
-        self.revision = in_era(call, era, self.revision)?;
+        self.revision = call.in_era(era, self.revision)?;
         Ok(self)
     }
 }
@@ -300,31 +305,9 @@
     /// Adds the era to the store's revisions.
     fn in_era(mut self, call: &Call, era: Era) -> Result<Self> {
         for change in &mut self.changes {
-            let revision = change.mod_revision_mut();
-            *revision = in_era(call, era, *revision)?;
+            call.change_in_era(era, change)?;
         }
-        self.revision = in_era(call, era, self.revision)?;
+        self.revision = call.in_era(era, self.revision)?;
         Ok(self)
     }
 }
-
-fn in_era(call: &Call, era: Era, number: u64) -> Result<u64> {
-    let revision = Revision::new(era, number);
-    let revision = revision.ok_or_else(|| unanswered(call, era, "revision out of range"))?;
-    Ok(revision.0)
-}
-
-fn unanswered(call: &Call, era: Era, reason: &str) -> Error {
-    Error::Unanswered {
-        step: call.step,
-        peer: format!("era {era}"),
-        reason: reason.to_owned(),
-    }
-}
-
-fn restored(call: &Call, era: Era) -> Error {
-    Error::Compacted {
-        step: call.step,
-        peer: format!("era {era}"),
-    }
-}
--- a/src/platform/revision.rs
+++ b/src/platform/revision.rs
@@ -11,6 +11,10 @@
 use std::fmt;
 use std::str::FromStr;
 
+use reqwest::header::HeaderName;
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::error::Error;
 use crate::error::Result;
 
@@ -38,6 +42,53 @@
     }
 }
 
+/// Name of the header that holds the store's era in each of its responses.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct EraHeader(HeaderName);
+
+impl EraHeader {
+    pub(crate) const fn from_static(name: &'static str) -> Self {
+        Self(HeaderName::from_static(name))
+    }
+
+    pub(crate) fn name(&self) -> &HeaderName {
+        &self.0
+    }
+}
+
+impl fmt::Display for EraHeader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for EraHeader {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse().map(Self).map_err(|_| Error::Decode {
+            step: "era header",
+            peer: text.to_owned(),
+            reason: "want the name of an HTTP header".to_owned(),
+        })
+    }
+}
+
+impl TryFrom<String> for EraHeader {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<EraHeader> for String {
+    fn from(header: EraHeader) -> Self {
+        header.to_string()
+    }
+}
+
 /// Revision with its era, as the copies of the store and their messages hold it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Revision(pub u64);
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -21,8 +21,11 @@
 use crate::error::Result;
 use crate::platform::BaseUrl;
 use crate::platform::CallCounts;
+use crate::platform::Change;
 use crate::platform::Era;
+use crate::platform::EraHeader;
 use crate::platform::Options;
+use crate::platform::Revision;
 use crate::platform::call::Body;
 use crate::platform::gateway;
 use crate::platform::gateway::DecodeResult;
@@ -99,7 +102,7 @@
     /// timeout.
     pub(crate) wait: Duration,
     /// Header of the response with the store's [`Era`]; `None` for a store without eras.
-    pub(crate) era_header: Option<&'static str>,
+    pub(crate) era_header: Option<EraHeader>,
 }
 
 impl Call {
@@ -113,17 +116,46 @@
     }
 
     /// The era of the store in the headers of a response; 0 if the store has none.
-    fn era(&self, response: &Response) -> std::result::Result<Era, String> {
-        let value = self
-            .era_header
-            .and_then(|name| response.headers().get(name));
-        let Some(value) = value else {
+    pub(crate) fn era(&self, response: &Response) -> std::result::Result<Era, String> {
+        let name = self.era_header.as_ref();
+        let Some(value) = name.and_then(|name| response.headers().get(name.name())) else {
             return Ok(Era::default());
         };
         let text = value.to_str().map_err(|error| error.to_string())?;
         text.parse().map_err(|error: Error| error.to_string())
     }
 
+    /// The error of a response whose era does not fit; the call may have taken effect.
+    pub(crate) fn outdated(&self, era: Era, reason: &str) -> Error {
+        Error::Unanswered {
+            step: self.step,
+            peer: format!("era {era}"),
+            reason: reason.to_owned(),
+        }
+    }
+
+    /// The error of a call that refers to a revision of before a restore.
+    pub(crate) fn restored(&self, era: Era) -> Error {
+        Error::Compacted {
+            step: self.step,
+            peer: format!("era {era}"),
+        }
+    }
+
+    /// Adds the era to a revision as the store reported it.
+    pub(crate) fn in_era(&self, era: Era, number: u64) -> Result<u64> {
+        let revision = Revision::new(era, number);
+        let revision = revision.ok_or_else(|| self.outdated(era, "revision out of range"))?;
+        Ok(revision.0)
+    }
+
+    /// Adds the era to the revision of a change.
+    pub(crate) fn change_in_era(&self, era: Era, change: &mut Change) -> Result<()> {
+        let revision = change.mod_revision_mut();
+        *revision = self.in_era(era, *revision)?;
+        Ok(())
+    }
+
     /// Whether another address may be tried after this error.
     ///
     /// A write whose bytes may have been sent must not be sent again: the second
@@ -184,9 +216,14 @@
         *self.era.borrow()
     }
 
-    /// Notified when the store has been restored.
-    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<Era>> {
-        self.era.subscribe()
+    /// Waits until the store is known to have been restored after this era.
+    pub(crate) async fn wait_for_restore(&self, era: Era) {
+        // The sender lives as long as this borrow.
+        let _ = self
+            .era
+            .subscribe()
+            .wait_for(|latest| *latest > Some(era))
+            .await;
     }
 
     /// Records an era of the store.
@@ -206,18 +243,22 @@
         &self.options
     }
 
-    /// Makes a call, at most once at each address.
+    /// Makes a call, at most once at each address; returns the era of its response as well.
+    /// A response that is older than the latest era known is rejected.
     pub(crate) async fn call<T>(
         &self,
         call: &Call,
         decode: fn(&[u8]) -> DecodeResult<T>,
-    ) -> Result<T> {
-        let (value, _) = self.call_in_era(call, decode).await?;
-        Ok(value)
+    ) -> Result<(T, Era)> {
+        let (value, era) = self.call_stale(call, decode).await?;
+        if self.era() > Some(era) {
+            return Err(call.outdated(era, "the store has been restored since"));
+        }
+        Ok((value, era))
     }
 
-    /// Makes a call; returns the era of its response as well.
-    pub(crate) async fn call_in_era<T>(
+    /// Makes a call whose response may be from before the store was restored.
+    pub(crate) async fn call_stale<T>(
         &self,
         call: &Call,
         decode: fn(&[u8]) -> DecodeResult<T>,
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -13,6 +13,7 @@
 use crate::error::Result;
 use crate::platform::BaseUrl;
 use crate::platform::Change;
+use crate::platform::Era;
 use crate::platform::gateway;
 use crate::platform::gateway::Event;
 use crate::platform::transport::Call;
@@ -26,17 +27,25 @@
     response: Response,
     lines: LinesCodec,
     buffer: BytesMut,
+    era: Era,
 }
 
 impl Watch {
-    async fn open(transport: &Transport, call: Call) -> Result<Self> {
+    async fn open(transport: &Transport, call: Call, expected: Era) -> Result<Self> {
         let (base, response) = transport.open(&call).await?;
+        let era = call.era(&response);
+        let era = era.map_err(|reason| call.unanswered(&base, reason))?;
+        // A restored store may have assigned the revision to another write.
+        if era != expected {
+            return Err(call.restored(era));
+        }
         Ok(Self {
             call,
             base,
             response,
             lines: LinesCodec::new_with_max_length(MAX_RESPONSE_LEN),
             buffer: BytesMut::new(),
+            era,
         })
     }
 
@@ -60,7 +69,12 @@
 
     fn decode_line(&self, line: &str) -> Result<Vec<Change>> {
         match gateway::event(line.as_bytes()) {
-            Ok(Event::Changes(changes)) => Ok(changes),
+            Ok(Event::Changes(mut changes)) => {
+                for change in &mut changes {
+                    self.call.change_in_era(self.era, change)?;
+                }
+                Ok(changes)
+            }
             Ok(Event::Cancelled(reason)) => Err(self.unanswered(reason)),
             Err(reason) => Err(self.unanswered(reason)),
         }
@@ -73,16 +87,17 @@
     Open(Box<Watch>),
 }
 
-/// The batches of a watch; the stream ends after its first error.
+/// The batches of a watch from a revision of this era; the stream ends after its first error.
 pub(crate) fn stream(
     transport: Arc<Transport>,
     call: Call,
+    era: Era,
 ) -> impl Stream<Item = Result<Vec<Change>>> + Send + 'static {
     stream::try_unfold(State::Closed(Box::new(call)), move |state| {
         let transport = Arc::clone(&transport);
         async move {
             let mut watch = match state {
-                State::Closed(call) => Box::new(Watch::open(&transport, *call).await?),
+                State::Closed(call) => Box::new(Watch::open(&transport, *call, era).await?),
                 State::Open(watch) => watch,
             };
             let batch = watch.next().await?;
--- a/src/registration.rs
+++ b/src/registration.rs
@@ -1,5 +1,6 @@
 //! Registers this instance in the platform, with a lease that is renewed.
 
+use std::future;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -10,6 +11,7 @@
 use crate::control::Registration;
 use crate::error::Result;
 use crate::platform::Client;
+use crate::platform::Era;
 use crate::platform::Lease;
 use crate::platform::ResolvedWrite;
 
@@ -22,6 +24,14 @@
 /// Delay after a failure.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// A lease and the era of the store that granted it. In another era, the store may have
+/// granted the same lease to another instance.
+#[derive(Clone, Copy)]
+struct GrantedLease {
+    lease: Lease,
+    era: Era,
+}
+
 /// Writes the newest registration to the platform and renews its lease until the
 /// sender is dropped. Then the lease is revoked, which removes the registration.
 pub(crate) async fn maintain(client: Client, mut wanted: watch::Receiver<Registration>) {
@@ -36,8 +46,16 @@
             break;
         }
     }
-    if let Some(lease) = lease {
-        let _ = client.lease_revoke(lease).await;
+    if let Some(granted) = lease.filter(|granted| client.era() == Some(granted.era)) {
+        let _ = client.lease_revoke(granted.lease).await;
+    }
+}
+
+/// Waits until the store is restored and has lost the lease.
+async fn wait_for_loss(client: &Client, lease: Option<GrantedLease>) {
+    match lease {
+        Some(granted) => client.wait_for_restore(granted.era).await,
+        None => future::pending().await,
     }
 }
 
@@ -45,7 +63,7 @@
 /// when the sender of registrations was dropped.
 async fn renew_until_change(
     client: &Client,
-    lease: &mut Option<Lease>,
+    lease: &mut Option<GrantedLease>,
     wanted: &mut watch::Receiver<Registration>,
     wait: Duration,
 ) -> bool {
@@ -54,11 +72,15 @@
         tokio::select! {
             changed = wanted.changed() => return changed.is_ok(),
             () = sleep(next_renewal.saturating_duration_since(Instant::now())) => {}
+            () = wait_for_loss(client, *lease) => {
+                *lease = None;
+                return true;
+            }
         }
         let Some(current) = *lease else {
             return true;
         };
-        match client.lease_keepalive(current).await {
+        match client.lease_keepalive(current.lease).await {
             Ok(left) if !left.is_zero() => next_renewal = Instant::now() + RENEWAL_INTERVAL,
             Ok(_) | Err(crate::Error::Refused { .. }) => {
                 // The lease expired while the platform or this process was unavailable.
@@ -73,12 +95,19 @@
 
 async fn write_registration(
     client: &Client,
-    lease: &mut Option<Lease>,
+    lease: &mut Option<GrantedLease>,
     registration: &Registration,
 ) -> Result<()> {
     let current = match *lease {
         Some(current) => current,
-        None => client.lease_grant(LEASE_TTL).await?,
+        None => {
+            let granted = client.lease_grant(LEASE_TTL).await?;
+            let era = client.era().unwrap_or_default();
+            GrantedLease {
+                lease: granted,
+                era,
+            }
+        }
     };
     *lease = Some(current);
     let key = format!("{INSTANCES}{}", registration.holder.instance);
@@ -86,7 +115,7 @@
     let value = serde_json::to_vec(registration).unwrap_or_default();
     let expected = found.map(|entry| entry.mod_revision);
     let written = client
-        .compare_and_swap_resolved(&key, expected, &value, Some(current))
+        .compare_and_swap_resolved(&key, expected, &value, Some(current.lease))
         .await?;
     match written {
         ResolvedWrite::Done(_) => Ok(()),
--- a/src/replica/register.rs
+++ b/src/replica/register.rs
@@ -100,18 +100,11 @@
     }
 }
 
-/// Waits until the store is restored after this era.
-async fn wait_for_restore(reader: &Reader, era: Era) -> Error {
-    let mut eras = reader.watch_era();
-    // The sender lives as long as the reader.
-    let restored = eras.wait_for(|latest| *latest > Some(era)).await;
+fn restored(era: Era) -> Error {
     Error::Refused {
         step: "registration",
         peer: format!("era {era}"),
-        reason: match restored {
-            Ok(_) => "the store has been restored".to_owned(),
-            Err(error) => error.to_string(),
-        },
+        reason: "the store has been restored".to_owned(),
     }
 }
 
@@ -131,7 +124,7 @@
         loop {
             tokio::select! {
                 () = time::sleep(RENEW_INTERVAL) => self.renew(lease).await?,
-                restored = wait_for_restore(&self.reader, era) => return Err(restored),
+                () = self.reader.wait_for_restore(era) => return Err(restored(era)),
             }
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -22,6 +22,7 @@
 use crate::error::Result;
 use crate::id;
 use crate::platform::BaseUrl;
+use crate::platform::EraHeader;
 use crate::platform::rate_limit::Rate;
 use crate::settings::jsonc::Source;
 
@@ -150,6 +151,11 @@
     pub status: id::Endpoint,
     /// Addresses of the platform's service, all of one store.
     pub platform: Vec<BaseUrl>,
+    /// Header of the platform's responses with the number of times that its store has been
+    /// restored from an older copy. Without it, a restored store is not followed until its
+    /// revisions exceed the known ones.
+    #[serde(default)]
+    pub platform_era_header: Option<EraHeader>,
     /// UDP address to bind for each service, to which the fabric delivers its packets. A
     /// service without an entry is bound at its public address.
     #[serde(default)]
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -18,6 +18,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::http::HeaderName;
 use axum::http::StatusCode;
 use axum::http::header::CONTENT_TYPE;
 use axum::middleware;
@@ -44,6 +45,8 @@
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest request body in bytes; base64 makes a value of 1 MiB a third larger.
 const MAX_BODY_LEN: usize = 4 << 20;
+/// Header of each response with the number of times that the store has been restored.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// gRPC code for a request that cannot be parsed.
 const INVALID_ARGUMENT: u32 = 3;
 /// gRPC code for an object that does not exist.
@@ -73,8 +76,13 @@
     lost_answers: u32,
 }
 
+/// A copy of the store's content.
+pub struct Backup(store::Content);
+
 struct Shared {
     store: Mutex<Store>,
+    /// Number of times that the store has been restored.
+    era: Mutex<u64>,
     faults: Mutex<Faults>,
     counters: Mutex<Counters>,
     /// Wakes the watches when the store or the faults change.
@@ -125,6 +133,7 @@
     let address = listener.local_addr()?;
     let shared = Arc::new(Shared {
         store: Mutex::new(Store::new()),
+        era: Mutex::default(),
         faults: Mutex::default(),
         counters: Mutex::default(),
         changed: watch::Sender::new(()),
@@ -197,6 +206,21 @@
         self.shared.change(|store| store.set_stale(on));
     }
 
+    /// Copies the content of the store.
+    pub fn backup(&self) -> Backup {
+        Backup(lock(&self.shared.store).backup())
+    }
+
+    /// Restores the store from a copy: what was written since is lost, and its revisions
+    /// and leases are assigned again. All watches are closed.
+    pub fn restore(&self, backup: &Backup) {
+        let mut era = lock(&self.shared.era);
+        self.shared.change(|store| store.restore(backup.0.clone()));
+        *era += 1;
+        drop(era);
+        self.shared.changed.send_replace(());
+    }
+
     /// Stops or resumes the clock by which leases expire.
     pub fn freeze_leases(&self, on: bool) {
         self.shared.change(|store| store.freeze_leases(on));
@@ -248,7 +272,14 @@
         connection.abort();
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    next.run(request).await
+    let era = *lock(&shared.era);
+    let mut response = next.run(request).await;
+    // The response may be of either era.
+    if *lock(&shared.era) != era {
+        connection.abort();
+    }
+    response.headers_mut().insert(ERA_HEADER, era.into());
+    response
 }
 
 /// Error response of the gateway.
@@ -379,6 +410,7 @@
     key: Vec<u8>,
     range_end: Vec<u8>,
     history_index: usize,
+    era: u64,
     is_announced: bool,
 }
 
@@ -389,6 +421,7 @@
             counters.watching += 1;
             counters.watching_peak = counters.watching_peak.max(counters.watching);
         });
+        let era = *lock(&shared.era);
         let history_index = lock(&shared.store).start_index(create.start_revision);
         Self {
             connection,
@@ -396,6 +429,7 @@
             key: create.key,
             range_end: create.range_end,
             history_index,
+            era,
             is_announced: false,
             shared,
         }
@@ -405,7 +439,7 @@
     async fn next_line(&mut self) -> io::Result<Bytes> {
         loop {
             self.changed.borrow_and_update();
-            if self.shared.is_down() {
+            if self.shared.is_down() || *lock(&self.shared.era) != self.era {
                 self.connection.abort();
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -61,6 +61,7 @@
 
 type Keys = BTreeMap<Vec<u8>, Kv>;
 
+#[derive(Clone)]
 struct Lease {
     ttl: i64,
     /// Expiry time on the lease clock.
@@ -93,12 +94,18 @@
     keys: Keys,
 }
 
-pub(crate) struct Store {
+/// Everything that a restore sets back.
+#[derive(Clone)]
+pub(crate) struct Content {
     revision: i64,
     keys: Keys,
     history: Vec<Event>,
     leases: BTreeMap<i64, Lease>,
     last_lease_id: i64,
+}
+
+pub(crate) struct Store {
+    content: Content,
     clock: LeaseClock,
     stale_snapshot: Option<StaleSnapshot>,
 }
@@ -106,12 +113,14 @@
 impl Store {
     pub(crate) fn new() -> Self {
         Self {
-            // The revision of an empty etcd is 1.
-            revision: 1,
-            keys: Keys::new(),
-            history: Vec::new(),
-            leases: BTreeMap::new(),
-            last_lease_id: 0,
+            content: Content {
+                // The revision of an empty etcd is 1.
+                revision: 1,
+                keys: Keys::new(),
+                history: Vec::new(),
+                leases: BTreeMap::new(),
+                last_lease_id: 0,
+            },
             clock: LeaseClock {
                 started_at: Instant::now(),
                 frozen_total: Duration::ZERO,
@@ -121,9 +130,19 @@
         }
     }
 
+    /// A copy of the content.
+    pub(crate) fn backup(&self) -> Content {
+        self.content.clone()
+    }
+
+    /// Sets the content back to a copy.
+    pub(crate) fn restore(&mut self, backup: Content) {
+        self.content = backup;
+    }
+
     /// Response header with the current revision.
     pub(crate) fn header(&self) -> Header {
-        header(self.revision)
+        header(self.content.revision)
     }
 
     /// Response header with the revision that readers see.
@@ -134,13 +153,15 @@
     fn visible_revision(&self) -> i64 {
         self.stale_snapshot
             .as_ref()
-            .map_or(self.revision, |stale_snapshot| stale_snapshot.revision)
+            .map_or(self.content.revision, |stale_snapshot| {
+                stale_snapshot.revision
+            })
     }
 
     pub(crate) fn set_stale(&mut self, on: bool) {
         self.stale_snapshot = on.then(|| StaleSnapshot {
-            revision: self.revision,
-            keys: self.keys.clone(),
+            revision: self.content.revision,
+            keys: self.content.keys.clone(),
         });
     }
 
@@ -153,26 +174,26 @@
         let keys = self
             .stale_snapshot
             .as_ref()
-            .map_or(&self.keys, |stale_snapshot| &stale_snapshot.keys);
+            .map_or(&self.content.keys, |stale_snapshot| &stale_snapshot.keys);
         read_range(keys, range, self.visible_header())
     }
 
     pub(crate) fn get(&self, key: &[u8]) -> Option<&Kv> {
-        self.keys.get(key)
+        self.content.keys.get(key)
     }
 
     pub(crate) fn put(&mut self, put: &Put) -> Result<PutResponse, Error> {
         self.check_put(put)?;
-        self.apply_put(put, self.revision + 1);
-        self.revision += 1;
+        self.apply_put(put, self.content.revision + 1);
+        self.content.revision += 1;
         Ok(PutResponse {
             header: self.header(),
         })
     }
 
     pub(crate) fn delete_range(&mut self, range: &DeleteRange) -> DeleteRangeResponse {
-        let deleted = self.apply_delete(&range.key, &range.range_end, self.revision + 1);
-        self.revision += i64::from(deleted > 0);
+        let deleted = self.apply_delete(&range.key, &range.range_end, self.content.revision + 1);
+        self.content.revision += i64::from(deleted > 0);
         DeleteRangeResponse {
             header: self.header(),
             deleted,
@@ -196,12 +217,12 @@
         let mut puts = branch.iter().filter_map(|op| op.request_put.as_ref());
         puts.try_for_each(|put| self.check_put(put))?;
 
-        let next = self.revision + 1;
-        let history_len = self.history.len();
+        let next = self.content.revision + 1;
+        let history_len = self.content.history.len();
         let run = |op| self.apply_operation(op, next);
         let responses = branch.iter().filter_map(run).collect();
-        if self.history.len() > history_len {
-            self.revision = next;
+        if self.content.history.len() > history_len {
+            self.content.revision = next;
         }
         Ok(TxnResponse {
             header: self.header(),
@@ -223,12 +244,12 @@
             return Some(OperationResponse::DeleteRange(response));
         }
         let range = op.request_range.as_ref()?;
-        let response = read_range(&self.keys, range, self.header());
+        let response = read_range(&self.content.keys, range, self.header());
         Some(OperationResponse::Range(response))
     }
 
     fn comparison_holds(&self, compare: &Compare) -> bool {
-        let kv = self.keys.get(&compare.key);
+        let kv = self.content.keys.get(&compare.key);
         let number = |field: fn(&Kv) -> i64| kv.map_or(0, field);
         let order = match compare.target {
             Target::Version => number(|kv| kv.version).cmp(&compare.version),
@@ -252,14 +273,14 @@
         if put.value.len() > MAX_VALUE {
             return Err(Error::TooLarge);
         }
-        if put.lease != 0 && !self.leases.contains_key(&put.lease) {
+        if put.lease != 0 && !self.content.leases.contains_key(&put.lease) {
             return Err(Error::LeaseNotFound);
         }
         Ok(())
     }
 
     fn apply_put(&mut self, put: &Put, revision: i64) {
-        let old = self.keys.get(&put.key);
+        let old = self.content.keys.get(&put.key);
         let kv = Kv {
             key: put.key.clone(),
             create_revision: old.map_or(revision, |kv| kv.create_revision),
@@ -268,18 +289,18 @@
             value: put.value.clone(),
             lease: put.lease,
         };
-        self.keys.insert(put.key.clone(), kv.clone());
+        self.content.keys.insert(put.key.clone(), kv.clone());
         let kind = EventKind::Put;
-        self.history.push(Event { kind, kv });
+        self.content.history.push(Event { kind, kv });
     }
 
     fn apply_delete(&mut self, key: &[u8], end: &[u8], revision: i64) -> i64 {
-        let deleted_keys: Vec<_> = keys_in_range(&self.keys, key, end)
+        let deleted_keys: Vec<_> = keys_in_range(&self.content.keys, key, end)
             .map(|kv| kv.key.clone())
             .collect();
         for key in &deleted_keys {
-            self.keys.remove(key);
-            self.history.push(Event {
+            self.content.keys.remove(key);
+            self.content.history.push(Event {
                 kind: EventKind::Delete,
                 kv: Kv {
                     key: key.clone(),
@@ -293,31 +314,38 @@
 
     pub(crate) fn grant(&mut self, id: i64, ttl: i64) -> LeaseResponse {
         if id == 0 {
-            self.last_lease_id += 1;
+            self.content.last_lease_id += 1;
         }
-        let id = if id == 0 { self.last_lease_id } else { id };
-        self.leases.insert(id, self.new_lease(ttl));
+        let id = if id == 0 {
+            self.content.last_lease_id
+        } else {
+            id
+        };
+        self.content.leases.insert(id, self.new_lease(ttl));
         self.lease_response(id, ttl)
     }
 
     /// Renews a lease; the time to live in the response is zero if it does not exist.
     pub(crate) fn keep_alive(&mut self, id: i64) -> LeaseResponse {
-        let ttl = self.leases.get(&id).map_or(0, |lease| lease.ttl);
+        let ttl = self.content.leases.get(&id).map_or(0, |lease| lease.ttl);
         if ttl > 0 {
-            self.leases.insert(id, self.new_lease(ttl));
+            self.content.leases.insert(id, self.new_lease(ttl));
         }
         self.lease_response(id, ttl)
     }
 
     pub(crate) fn revoke(&mut self, id: i64) -> Result<LeaseResponse, Error> {
-        self.leases.remove(&id).ok_or(Error::LeaseNotFound)?;
-        let attached = self.keys.values().filter(|kv| kv.lease == id);
+        self.content
+            .leases
+            .remove(&id)
+            .ok_or(Error::LeaseNotFound)?;
+        let attached = self.content.keys.values().filter(|kv| kv.lease == id);
         let attached: Vec<_> = attached.map(|kv| kv.key.clone()).collect();
-        let next = self.revision + 1;
+        let next = self.content.revision + 1;
         for key in &attached {
             self.apply_delete(key, &[], next);
         }
-        self.revision += i64::from(!attached.is_empty());
+        self.content.revision += i64::from(!attached.is_empty());
         Ok(self.lease_response(0, 0))
     }
 
@@ -325,6 +353,7 @@
     pub(crate) fn expire_leases(&mut self) -> bool {
         let now = self.clock.now();
         let expired = self
+            .content
             .leases
             .iter()
             .filter(|(_, lease)| lease.expires_at <= now);
@@ -358,7 +387,8 @@
             0 => self.visible_revision() + 1,
             revision => revision,
         };
-        self.history
+        self.content
+            .history
             .partition_point(|event| event.kv.mod_revision < start)
     }
 
@@ -371,10 +401,11 @@
     ) -> (Vec<Event>, usize) {
         let visible_revision = self.visible_revision();
         let next_index = self
+            .content
             .history
             .partition_point(|event| event.kv.mod_revision <= visible_revision)
             .max(history_index);
-        let new_events = self.history[history_index..next_index].iter();
+        let new_events = self.content.history[history_index..next_index].iter();
         let matching_events = new_events.filter(|event| range_contains(key, end, &event.kv.key));
         (matching_events.cloned().collect(), next_index)
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -2,6 +2,7 @@
 
 mod lab;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 use godwitreel::peer;
 use godwitreel::peer::PeerMessage;
 use godwitreel::platform::Entry;
+use godwitreel::platform::Era;
+use godwitreel::platform::Revision;
 use godwitreel::reason::Reason;
 use godwitreel::request::Kind;
 use godwitreel::request::Outcome;
@@ -547,6 +550,32 @@
     assert!(row.is_home(&b) && row.epoch.0 == 2 && !row.records_lost);
 }
 
+/// The platform's store comes back from an older copy, which has an earlier row or no
+/// document at all. An instance that starts then would believe it, so that two instances act
+/// for the slice.
+#[test]
+fn a_row_that_a_restore_loses_is_written_again() {
+    let (a, b) = (holder("a", 1), holder("b", 1));
+    let current = row(7, Some(&b), Some(&a));
+    let mut test = PlannerTest::new(&b);
+    test.store(current.clone());
+    assert_eq!(written(&test.run(secs(1), &[&a])), None);
+    test.version = Revision::new(Era(1), 3).unwrap().0;
+    test.store(row(6, Some(&a), Some(&b)));
+    let commands = test.run(secs(1), &[&a]);
+    assert_eq!(written(&commands), Some(current.clone()));
+    let mut expected = commands.iter().filter_map(|command| match command {
+        Command::Write { expected, .. } => Some(*expected),
+        _ => None,
+    });
+    assert_eq!(expected.next(), Some(Some(test.version)));
+    test.control
+        .write_finished(test.now, 0, WriteResult::Done(test.version + 1));
+    assert_eq!(written(&test.run(secs(1), &[&a])), None);
+    test.control.retain(&BTreeSet::new());
+    assert_eq!(written(&test.run(secs(1), &[&a])), Some(current));
+}
+
 /// Shortly after its start an instance has received no heartbeats yet. It must not
 /// consider the other instances dead and take their slices.
 #[test]
