--- a/tests/era.rs
+++ b/tests/era.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use godwitreel::Error;
+use godwitreel::config::Config;
 use godwitreel::pacing::BackoffBounds;
 use godwitreel::platform;
 use godwitreel::platform::Client;
+use godwitreel::platform::Entry;
 use godwitreel::platform::Era;
 use godwitreel::platform::Options;
 use godwitreel::platform::ResolvedWrite;
 use godwitreel::platform::Revision;
 use godwitreel::platform::SwapOutcome;
 use godwitreel::platform::Update;
+use serde_json::json;
 use standin::platform::Handle;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -126,3 +129,41 @@
     assert_eq!(former, next);
     assert_eq!(client.era(), Some(Era(1)));
 }
+
+fn profile(write_id: &str, deadline_ms: u64, revision: u64) -> Entry {
+    let value = json!({"revision": 12, "operator": "alem", "write_id": write_id,
+        "body": {"deadline_ms": deadline_ms}});
+    Entry {
+        key: "godwitreel/profiles/open".to_owned(),
+        value: value.to_string().into(),
+        mod_revision: revision,
+    }
+}
+
+// Guards against a profile that is accepted under a revision which the restore has lost, and
+// never in force where the lost one is known.
+#[test]
+fn a_profile_under_a_lost_revision_is_in_force() {
+    let mut config = Config::default();
+    let service = json!({"revision": 1, "operator": "alem", "write_id": "s",
+        "body": {"address": "127.0.0.1:5683", "profile": "open"}});
+    config.put(&Entry {
+        key: "godwitreel/services/dispatch".to_owned(),
+        value: service.to_string().into(),
+        mod_revision: 3,
+    });
+    let deadline = |config: &Config| {
+        let services = config.snapshot().services;
+        services
+            .values()
+            .next()
+            .expect("a service")
+            .profile
+            .deadline()
+    };
+    config.put(&profile("lost", 3_000, 60));
+    assert_eq!(deadline(&config), Duration::from_millis(3_000));
+    let revision = Revision::new(Era(1), 14).unwrap();
+    config.put(&profile("next", 4_000, revision.0));
+    assert_eq!(deadline(&config), Duration::from_millis(4_000));
+}
