An instance lists a store without its history when no head does

What callers would meet: with the three heads of a zone refused by the store while it drops its history or is restored, nobody of that zone learned of anything: contact 25 s old in the test, and growing.

Cause: an instance that is not a head was told that the history is gone, left the listing to the heads and asked again, without end. Now its wait ends unless an upstream had later contact meanwhile: after twice the time between the last two, and a turn later with each rank, so that few of a zone list at a time.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -281,7 +281,8 @@
     ///
     /// The first batch is empty and confirms that the watch is established. The
     /// stream ends with its first error; the end of the connection is an error,
-    /// too, and so is a store of another era than the revision's. A connection that stops delivering data causes no error, which is why
+    /// too, and so is a store of another era than the revision's. A connection that
+    /// stops delivering data causes no error, which is why
     /// [`crate::platform::follow()`] probes the store.
     pub fn watch(
         &self,
--- a/src/replica/first_copy.rs
+++ b/src/replica/first_copy.rs
@@ -88,6 +88,13 @@
     }
 }
 
+/// How much later than the heads an instance of this rank should read a store of so many
+/// keys, so that few of a zone begin in the time of one reading.
+pub(crate) fn turn(rank: usize, keys: usize) -> Duration {
+    let turns = rank.saturating_sub(HEAD_COUNT) as f64 / HEAD_COUNT as f64;
+    (READ_TIME_PER_KEY * keys as u32).mul_f64(turns)
+}
+
 /// A rank for an instance that is not among the first of its zone.
 fn estimated_rank(me: &Member, roster: &Roster) -> usize {
     let others = roster.zone_size.saturating_sub(roster.first.len()).max(1);
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -35,6 +35,7 @@
 use crate::replica::copy;
 use crate::replica::follow::poll::LargeValueState;
 use crate::replica::follow::upstream::Cooldown;
+use crate::replica::publish::HEARTBEAT_INTERVAL;
 use crate::replica::register;
 use crate::replica::roster;
 use crate::replica::store;
@@ -119,6 +120,13 @@
     had_changes: bool,
     /// Whether the store has dropped the history after the synced revision.
     is_compacted: bool,
+    /// When this instance lists a store that has dropped its history, if no upstream has had
+    /// contact with the store until then.
+    listing_due: Option<Instant>,
+    /// When an upstream last reported later contact with the store.
+    contact_recorded_at: Instant,
+    /// Time between the last two such reports.
+    contact_interval: Duration,
     /// Polling state of the large value.
     large: LargeValueState,
     backoff: Backoff,
@@ -158,6 +166,9 @@
         probe_pause: PROBE_PAUSE.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
         is_compacted: false,
+        listing_due: None,
+        contact_recorded_at: Instant::now(),
+        contact_interval: Duration::ZERO,
         large: LargeValueState::default(),
         backoff: Backoff::new(options.backoff, options.seed),
         started_at: Instant::now(),
@@ -250,6 +261,11 @@
         let Some(contact) = contact else {
             return Ok(());
         };
+        // Smaller steps may be due to the time of transfer alone.
+        let known = self.shared.contact();
+        if known.is_none_or(|known| contact > known + HEARTBEAT_INTERVAL) {
+            self.record_later_contact(now);
+        }
         self.shared.record_contact(contact);
         if !self.is_copy_old() {
             self.is_store_silent = false;
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -13,6 +13,7 @@
 use crate::platform::poll::Batch;
 use crate::replica::Member;
 use crate::replica::Update;
+use crate::replica::first_copy;
 use crate::replica::follow::FollowEnd;
 use crate::replica::follow::Follower;
 use crate::replica::follow::StoreState;
@@ -320,7 +321,12 @@
                 if self.is_head() {
                     return Ok(is_upstream_old);
                 }
-                self.leave_listing_to_heads();
+                let now = Instant::now();
+                if self.listing_due.is_some_and(|due| now >= due) {
+                    self.listing_due = None;
+                    return Ok(is_upstream_old);
+                }
+                self.leave_listing_to_heads(now);
                 Ok(false)
             }
         }
@@ -331,8 +337,36 @@
     /// Load pattern: the store drops its history again and again, faster than a head lists
     /// it, and all copies of a fleet grow old. If each instance left its upstream and listed
     /// the store, the listings would fill the store's link, and no head would complete one.
-    fn leave_listing_to_heads(&mut self) {
-        self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause);
+    ///
+    /// Another load pattern: the store refuses all heads of a zone at that time. The wait
+    /// ends unless one of the upstreams has had contact with the store meanwhile, and longer
+    /// after it for lower ranks.
+    fn leave_listing_to_heads(&mut self, now: Instant) {
+        let due = self
+            .listing_due
+            .unwrap_or_else(|| now + self.listing_wait());
+        self.listing_due = Some(due);
+        self.store_state = StoreState::Unreachable(due.min(now + self.probe_pause));
+    }
+
+    /// How long the heads have to list the store before this instance does.
+    fn listing_wait(&self) -> Duration {
+        let me = &self.sources.me;
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        let ranked = tree::ranked(&me.zone, &members);
+        let rank = ranked.iter().position(|m| m.instance == me.instance);
+        let keys = self.shared.with_copy(|copy| copy.key_count());
+        let turn = first_copy::turn(rank.unwrap_or(ranked.len()), keys);
+        let max_age = self.sources.timing.max_age;
+        let for_heads = (self.contact_interval * 2).clamp(max_age / 2, max_age * 4);
+        for_heads + turn
+    }
+
+    /// Records that an upstream reported later contact with the store.
+    pub(super) fn record_later_contact(&mut self, now: Instant) {
+        self.listing_due = None;
+        self.contact_interval = now - self.contact_recorded_at;
+        self.contact_recorded_at = now;
     }
 
     fn is_head(&mut self) -> bool {
