--- a/tests/change.rs
+++ b/tests/change.rs
@@ -184,3 +184,38 @@
         assert!(open, "{update:?}");
     }
 }
+
+/// The platform's store comes back from an older copy, so that its revisions are lower than
+/// the known ones. Guards against instances that take it for a lagging address, and against
+/// a change that reverts with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_all_after_the_store_was_restored() {
+    const ALL: [usize; 3] = [0, 1, 2];
+    let mut settings = fast_detection_settings();
+    settings["platform_era_header"] = "store-era".into();
+    let plan = Plan {
+        settings,
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).await;
+    cluster.change_profile(2, &json!({"retry_after_s": 3}));
+    time_until_in_force(&cluster, &ALL, 2).await;
+    let backup = cluster.platform.backup();
+    for state in ["draining", "up"].repeat(20) {
+        cluster.list_server("dispatch-1", state);
+    }
+    cluster.change_profile(3, &json!({"retry_after_s": 4}));
+    time_until_in_force(&cluster, &ALL, 3).await;
+    cluster.platform.restore(&backup);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(2) {
+        for instance in ALL {
+            assert_eq!(revision(&cluster, instance).await, 3, "went back");
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    cluster.change_profile(4, &json!({"retry_after_s": 5}));
+    let took = time_until_in_force(&cluster, &ALL, 4).await;
+    println!("after a restore: {took:?}");
+    cluster.wait_until_settled().await;
+}
