--- a/review/standin/kit.py
+++ b/review/standin/kit.py
@@ -613,10 +613,9 @@
     raise Blocked(what)
 
 
-def main(case, folder):
+def main(case, folder, with_trouble):
     """Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder)
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"disruption: {'yes' if with_trouble else 'no'}")
     instances = []
 
