Flow: an entry proves nothing about other servers at its address

Cause: the first entry of a server at an instance counted as proof that the servers known at its address had ended. A write without a response may be executed seconds later, when the address has been reassigned. To an instance that does not know the ended server, the late write looks like a start.

Evidence: in the log of the resetting instance, the reset's `missing_ms` of 7,133 begins at the arrival of the late entry to the millisecond, and no line says that the live server's own entry went missing, which rules out its lapse and an incomplete first listing. The tag in the packet named the live server, which rules out a wrong server. The new log line `address claimed by another server` names both servers.

Change: while another server claims an address, packets of the known server's open flows go to whichever server is there (identity 0): it continues its own flows and resets others. An instance resets no flow on the strength of a claim. New flows avoid the known server until it answers or writes, or until the claimant's entry lapses first. A lapsed entry that returns while another server is listed at the address gets no new flows.

Why it works: the answer comes from the server at the address, whatever the order of the entries. Opening packets keep their identity, so that no server of another service takes one.

Ruled out: the order of revisions (a late write has the later one) or of starts (entries may have none, clocks differ); retransmissions as proof of silence (a server acknowledges every second packet, so that one that works on a request looks the same); a longer grace time (a write may be 6 s late).

The other tests of flow::gone and flow::incarnation pass unchanged.

--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -101,6 +101,7 @@
             false => "waited_in_vain",
         },
         FlowEvent::Released { .. } => "released",
+        FlowEvent::AddressClaimed { .. } => "address_claimed",
         FlowEvent::Dropped { .. } => "dropped",
         FlowEvent::Suspected { .. } => "suspected",
         FlowEvent::Stalled { .. } => "stalled",
@@ -155,6 +156,10 @@
             missing_ms,
         } => info!(log, "flow of a gone server reset"; "outcome" => kind, "flow" => %flow_key,
             "server" => %server, "missing_ms" => missing_ms),
+        FlowEvent::AddressClaimed { server, known } => {
+            info!(log, "address claimed by another server";
+            "outcome" => kind, "server" => %server, "known" => %known)
+        }
         FlowEvent::Dropped { flow_key, reason } => info!(log, "packet dropped";
             "outcome" => kind, "flow" => %flow_key, "reason" => %reason),
         FlowEvent::Suspected { server, misses } => warn!(log, "server suspected";
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -18,6 +18,7 @@
 use crate::flow::Evacuation;
 use crate::flow::Peer;
 use crate::flow::PeerRing;
+use crate::flow::Routes;
 use crate::flow::Server;
 use crate::flow::ServerOutcomes;
 use crate::flow::ServerState;
@@ -30,20 +31,25 @@
 use crate::flow::load::speed::Mean;
 use crate::flow::outcome::RequestOutcomes;
 use crate::flow::pool::Pool;
+use crate::flow::record::Claim;
 use crate::flow::record::Record;
 use crate::flow::record::ServerHandle;
 use crate::flow::record::draining_since;
 use crate::id;
 
-/// How long after another server's start at the same address the former server may still
-/// prove that it is alive. This is enough for a live server: callers retransmit after 0.2 s,
-/// and the server's own entry is delivered within milliseconds.
-const REPLACEMENT_GRACE: Duration = Duration::from_millis(500);
-
 /// Maximum number of servers that an instance reports to others. If more servers fail at
 /// the same time, further reports hardly improve the selection.
 const MAX_OUTCOME_REPORTS: usize = 64;
 
+/// An entry with the address of another known server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AddressClaim {
+    /// The server of the entry.
+    pub(crate) claimant: id::Server,
+    /// The server that was known at the address before.
+    pub(crate) known: id::Server,
+}
+
 /// All known servers.
 #[derive(Debug)]
 pub struct Directory {
@@ -62,6 +68,10 @@
     /// Servers by the time at which their entry was found missing, the earliest first.
     /// Those whose entry is back stay until their time has passed.
     missing: VecDeque<(Instant, ServerHandle)>,
+    /// Claims that have not been taken yet.
+    new_claims: Vec<AddressClaim>,
+    /// Services that the configuration names; `None` before the first configuration.
+    services: Option<HashSet<id::Service>>,
     /// Number of servers that are listed now.
     listed: usize,
     /// Indexes of the servers for which failures may be counted.
@@ -100,6 +110,8 @@
             by_service: HashMap::new(),
             retention,
             missing: VecDeque::new(),
+            new_claims: Vec::new(),
+            services: None,
             listed: 0,
             with_failures: BTreeSet::new(),
             entries_have_incarnation: false,
@@ -126,38 +138,96 @@
         let is_new_incarnation = known.is_none_or(|known| {
             known.server.incarnation.is_some() && known.server.incarnation < server.incarnation
         });
-        if is_new_incarnation {
-            self.mark_replaced(now, &server);
+        if is_new_incarnation && self.is_service_named(&server.service) {
+            self.mark_claimed(now, &server);
         }
         self.apply(now, server)
     }
 
-    /// Marks the servers known at an address at which another server starts.
+    /// Marks the servers known at the address of another server's first entry.
     ///
-    /// An address belongs to one machine, so that a start there means that its former server
-    /// has ended. Load pattern: a quarter of a service's servers vanish and their addresses
-    /// are reassigned. Without this rule, callers with open flows there would wait until
-    /// their deadlines, because the entries first have to lapse and stay missing.
-    fn mark_replaced(&mut self, now: Instant, server: &Server) {
+    /// An address belongs to one machine, so that one of the servers has ended, most likely
+    /// the one that was known before. It may as well be the other one: a write without a
+    /// response can be executed seconds later, when the address has been reassigned. Only the
+    /// servers themselves can tell, so that a claim never resets a flow.
+    ///
+    /// Load pattern: a quarter of a service's servers vanish and their addresses are
+    /// reassigned. Without claims, callers with open flows there would wait until their
+    /// deadlines, because the entries first have to lapse and stay missing.
+    fn mark_claimed(&mut self, now: Instant, server: &Server) {
         let indexes = self.by_address.get(&server.address);
         for index in indexes.into_iter().flatten() {
             let Some(Some(record)) = self.records.get_mut(*index as usize) else {
                 continue;
             };
-            // An earlier incarnation is a late write and replaces no server.
+            // An earlier incarnation is a late write.
             let is_later = server.incarnation >= record.server.incarnation;
-            if record.server.id != server.id && is_later {
-                record.replaced_since.get_or_insert(now);
+            if record.server.id == server.id || !is_later {
+                continue;
+            }
+            record.claim = Some(Claim {
+                claimant: server.id.clone(),
+                since: now,
+            });
+            self.new_claims.push(AddressClaim {
+                claimant: server.id.clone(),
+                known: record.server.id.clone(),
+            });
+        }
+    }
+
+    /// Takes the claims since the last call.
+    pub(crate) fn take_new_claims(&mut self) -> Vec<AddressClaim> {
+        std::mem::take(&mut self.new_claims)
+    }
+
+    /// Ends the claims of a server whose entry is missing, on servers that are still listed.
+    ///
+    /// A claimant that started at the address after the known server had ended would have
+    /// outlived that one's entry.
+    fn end_claims(&mut self, claimant: &id::Server, address: SocketAddrV4) {
+        let indexes = self.by_address.get(&address);
+        for index in indexes.into_iter().flatten() {
+            if let Some(Some(record)) = self.records.get_mut(*index as usize)
+                && record.missing_since.is_none()
+            {
+                record.claim.take_if(|claim| claim.claimant == *claimant);
             }
         }
     }
 
+    /// Whether a server's address is claimed by one that is listed.
+    fn has_listed_claimant(&self, handle: ServerHandle) -> bool {
+        let claim = self.get(handle).and_then(|record| record.claim.as_ref());
+        let claimant = claim.and_then(|claim| self.by_id.get(&claim.claimant));
+        let claimant = claimant.and_then(|handle| self.get(*handle));
+        claimant.is_some_and(|claimant| claimant.missing_since.is_none())
+    }
+
+    /// Whether the configuration names the service, as far as it is known.
+    fn is_service_named(&self, service: &id::Service) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
+    /// Whether an entry moves a known server to a service that does not exist, which only
+    /// another writer does.
+    fn is_foreign(&self, known: ServerHandle, entry: &Server) -> bool {
+        let known = self.get(known);
+        let is_moved = known.is_some_and(|known| known.server.service != entry.service);
+        is_moved && !self.is_service_named(&entry.service)
+    }
+
     fn apply(&mut self, now: Instant, server: Server) -> bool {
         self.entries_have_incarnation |= server.incarnation.is_some();
         let Some(handle) = self.by_id.get(&server.id).copied() else {
             self.insert(now, server);
             return true;
         };
+        if self.is_foreign(handle, &server) {
+            self.mark_unreadable(&server.id);
+            return true;
+        }
         let known = self
             .get(handle)
             .and_then(|record| record.server.incarnation);
@@ -186,12 +256,17 @@
             self.remove_address(handle);
             self.add_address(handle, server.address);
         }
+        let has_listed_claimant = self.has_listed_claimant(handle);
         let Some(record) = self.get_mut(handle) else {
             return;
         };
         let is_back = record.missing_since.take().is_some();
-        // A server that writes its entry is alive.
-        record.replaced_since = None;
+        // A server that writes its entry is alive, unless the entry had lapsed and another
+        // server lives at the address: then the write is a late one.
+        match record.claim.as_mut() {
+            Some(claim) if is_back && has_listed_claimant => claim.since = now,
+            _ => record.claim = None,
+        }
         record.is_unreadable = false;
         record.draining_since = draining_since(&server, record.draining_since, now);
         record.cold_until = now + server.cold_for;
@@ -382,9 +457,10 @@
         &self.owners
     }
 
-    /// Replaces the load limits of cold servers.
-    pub(crate) fn set_warmups(&mut self, warmups: HashMap<id::Service, Warmup>) {
-        self.warmups = warmups;
+    /// Applies what a configuration says about services.
+    pub(crate) fn set_services(&mut self, routes: &Routes) {
+        self.warmups = routes.warmups.clone();
+        self.services = Some(routes.services());
     }
 
     /// Whether a server is cold and this instance has used up its quota for it.
@@ -460,8 +536,10 @@
             && record.missing_since.is_none()
         {
             record.missing_since = Some(now);
+            let address = record.server.address;
             self.missing.push_back((now, handle));
             self.listed -= 1;
+            self.end_claims(id, address);
         }
     }
 
@@ -543,24 +621,19 @@
     pub(crate) fn accepts_while_missing(&self, record: &Record) -> bool {
         let ready = record.server.state == ServerState::Ready && !record.has_duplicate_tag;
         let missing = record.missing_since;
-        let is_replaced = record.replaced_since.is_some();
-        ready && !is_replaced && missing.is_some_and(|missing| self.may_return(missing))
+        ready && !record.is_claimed() && missing.is_some_and(|missing| self.may_return(missing))
     }
 
     /// Since when a server has been proven to be gone; `None` while it may be alive.
     ///
     /// An entry also lapses if its server cannot reach the store. The server therefore
     /// counts as gone if it has not answered and the contact with the store has lasted
-    /// longer than a live server needs to restore its entry. It also counts as gone if
-    /// another server has started at its address and it has not answered since.
-    pub(crate) fn gone_since(&self, handle: ServerHandle, now: Instant) -> Option<Instant> {
+    /// longer than a live server needs to restore its entry.
+    pub(crate) fn gone_since(&self, handle: ServerHandle) -> Option<Instant> {
         let record = self.get(handle)?;
-        let has_grace_ended = |replaced: &Instant| now >= *replaced + REPLACEMENT_GRACE;
-        let replaced = record.replaced_since.filter(has_grace_ended);
         let missing = record.missing_since;
         let missing = missing.filter(|missing| !self.may_return(*missing));
-        let is_unanswered = |since: &Instant| !record.has_answered_since(*since);
-        replaced.or(missing).filter(is_unanswered)
+        missing.filter(|missing| !record.has_answered_since(*missing))
     }
 
     /// Removes servers that have been missing for longer than the lifetime of a flow.
--- a/src/flow/event.rs
+++ b/src/flow/event.rs
@@ -171,6 +171,13 @@
         /// How long its entry has been missing, in milliseconds.
         missing_ms: u64,
     },
+    /// The first entry of a server has the address of another one.
+    AddressClaimed {
+        /// The server of the entry.
+        server: id::Server,
+        /// The server that was known at the address before.
+        known: id::Server,
+    },
     /// A packet was dropped.
     Dropped {
         /// The flow.
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -223,7 +223,7 @@
                 self.has_some_servers |= !servers.is_empty();
                 self.directory.add_listed(now, servers);
             }
-            StateUpdate::Server(server) => return self.directory.put(now, server),
+            StateUpdate::Server(server) => return self.put_server(now, server),
             StateUpdate::ServerUnreadable(server) => self.directory.mark_unreadable(&server),
             StateUpdate::ServerRemoved(server) => self.directory.remove(now, &server),
             StateUpdate::Routes(routes) => return self.set_routes(routes),
@@ -251,13 +251,24 @@
         true
     }
 
+    fn put_server(&mut self, now: Instant, server: Server) -> bool {
+        let is_current = self.directory.put(now, server);
+        for claim in self.directory.take_new_claims() {
+            self.record_event(FlowEvent::AddressClaimed {
+                server: claim.claimant,
+                known: claim.known,
+            });
+        }
+        is_current
+    }
+
     /// Ignores a configuration that is not newer: even a short return to an older version
     /// would use routes that the operators have withdrawn.
     fn set_routes(&mut self, routes: Routes) -> bool {
         let current = self.routes.as_ref().map(|routes| routes.version);
         let is_newer = current.is_none_or(|current| routes.version > current);
         if is_newer {
-            self.directory.set_warmups(routes.warmups.clone());
+            self.directory.set_services(&routes);
             self.control.set_routes(&self.options.zone, &routes);
             self.routes = Some(routes);
         }
--- a/src/flow/plane/established.rs
+++ b/src/flow/plane/established.rs
@@ -45,7 +45,7 @@
             self.record_miss(server_handle, now - MIN_RETRANSMISSION_INTERVAL, now);
         }
         match self.directory.get(server_handle) {
-            Some(record) => Verdict::Forward(record.target()),
+            Some(record) => Verdict::Forward(record.flow_target()),
             None => Verdict::Drop(DropReason::UnknownTag),
         }
     }
@@ -194,7 +194,7 @@
         segment: &Segment,
         server_handle: ServerHandle,
     ) -> bool {
-        let Some(gone_since) = self.directory.gone_since(server_handle, now) else {
+        let Some(gone_since) = self.directory.gone_since(server_handle) else {
             return false;
         };
         let Some(record) = self.directory.get(server_handle) else {
--- a/src/flow/record.rs
+++ b/src/flow/record.rs
@@ -93,6 +93,13 @@
     }
 }
 
+/// The first entry of another server with the address of this one.
+#[derive(Debug)]
+pub(super) struct Claim {
+    pub(super) claimant: id::Server,
+    pub(super) since: Instant,
+}
+
 /// State that is kept for a server.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -105,8 +112,9 @@
     pub(crate) is_unreadable: bool,
     /// When the entry was found missing; `None` while it is listed.
     pub(crate) missing_since: Option<Instant>,
-    /// When another server has started at the same address.
-    pub(super) replaced_since: Option<Instant>,
+    /// The last claim on the address, unless the entries have shown since that this server is
+    /// alive.
+    pub(super) claim: Option<Claim>,
     pub(crate) draining_since: Option<Instant>,
     /// Whether the server's zone is evacuated.
     pub(crate) is_evacuated: bool,
@@ -154,7 +162,7 @@
             generation: handle.generation,
             is_unreadable: false,
             missing_since: None,
-            replaced_since: None,
+            claim: None,
             draining_since: draining_since(&server, None, now),
             is_evacuated: false,
             affinity: Affinity::default(),
@@ -183,6 +191,22 @@
         }
     }
 
+    /// Recipient of packets of the server's open flows.
+    ///
+    /// At a claimed address, this is whichever server is there: this one continues its
+    /// flows, and another one resets them, because it does not know them. The answer is
+    /// always right, unlike a reset by an instance, which cannot tell which one has ended.
+    pub(crate) fn flow_target(&self) -> Target {
+        let target = self.target();
+        match self.is_claimed() {
+            true => Target {
+                serial: Serial::ANY,
+                ..target
+            },
+            false => target,
+        }
+    }
+
     /// Updates the cached penalty. A selection compares dozens of servers, most of which have
     /// no failures, so that the penalty is not computed there.
     pub(crate) fn update_penalty(&mut self, now: Instant) {
@@ -197,10 +221,16 @@
     /// Whether the server accepts new flows according to its last readable entry.
     pub(crate) fn accepts_by_last_entry(&self) -> bool {
         let ready = self.server.state == ServerState::Ready;
-        let is_listed = self.missing_since.is_none() && self.replaced_since.is_none();
+        let is_listed = self.missing_since.is_none() && !self.is_claimed();
         ready && is_listed && !self.has_duplicate_tag
     }
 
+    /// Whether another server may have started at the address, so that this one has ended.
+    pub(super) fn is_claimed(&self) -> bool {
+        let is_unanswered = |claim: &Claim| !self.has_answered_since(claim.since);
+        self.claim.as_ref().is_some_and(is_unanswered)
+    }
+
     /// Whether the server has answered after `at`.
     pub(super) fn has_answered_since(&self, at: Instant) -> bool {
         self.liveness.last_answer() > Some(at)
--- a/src/flow/route.rs
+++ b/src/flow/route.rs
@@ -1,6 +1,7 @@
 //! Mapping from public addresses to services in one configuration.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::net::SocketAddrV4;
@@ -86,3 +87,13 @@
     /// Routes without a valid class, in the order of the configuration.
     pub invalid_classes: Vec<InvalidClass>,
 }
+
+impl Routes {
+    /// The services that the configuration names.
+    pub(crate) fn services(&self) -> HashSet<id::Service> {
+        let routes = self.by_address.values();
+        let routed = routes.flat_map(|route| &route.backends);
+        let routed = routed.map(|backend| &backend.service);
+        routed.chain(self.warmups.keys()).cloned().collect()
+    }
+}
--- a/src/flow/tag.rs
+++ b/src/flow/tag.rs
@@ -14,6 +14,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Serial(pub u64);
 
+impl Serial {
+    /// Addresses whichever server is at the address. No server has this identity.
+    pub const ANY: Self = Self(0);
+}
+
 impl fmt::Display for Serial {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Forwarding decisions: events and times in, verdicts out.
 
+mod address;
 mod backlog;
 mod choice;
 mod class;
