Log what an instance's probes of the store find

An instance now logs each failed probe, and the first answered one after an outage with the age of its copy.

--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -310,6 +310,7 @@
                 Ok(is_upstream_old && !self.detect_recovery())
             }
             Err(error) => {
+                info!(self.sources.log, "probe of the store failed"; "error" => %error);
                 self.record_failure(&error).await?;
                 self.next_fallback_probe = self
                     .next_fallback_probe
@@ -379,6 +380,9 @@
     fn detect_recovery(&mut self) -> bool {
         let is_recovery = matches!(self.store_state, StoreState::Unreachable(_));
         if is_recovery {
+            let age = self.shared.age(Instant::now());
+            info!(self.sources.log, "store responds again, awaiting report of upstream";
+                "view_age_ms" => age.map(|age| age.as_millis() as u64));
             self.store_state = StoreState::Recovered(Instant::now() + RECOVERY_REPORT_TIMEOUT);
         }
         is_recovery
