Follow: the pause between probes keeps the bound after an outage

Cause: while copies were old, an instance probed the store every 4 to 5 s. The first answered probe brings servers only and gives the upstream 1.3 s to report the return of the store. An upstream that is cut off from the store as this returns reports nothing, so that the configuration came up to 6.3 s after the return, where contactMs is 4 s.

Change: the pause follows from the time in which the store's state must be in use after an outage, the new setting store.catch_up_ms (contactMs): less 1.3 s for the upstream's report and 0.7 s for the calls after it, from 1 to 4 s, of which up to a quarter is taken off by name. It counts from when a probe was sent, since one that gets no answer takes 0.8 s to fail.

Why it works: the store may return right after a failed probe was sent. Then pause + 1.3 s + 0.7 s = catch_up_ms, whatever the upstream does and whenever the outage ends.

Tests: a_cut_off_upstream_hides_no_configuration_after_an_outage and .._after_silence failed before (5.7 s and 6.1 s; 4 s allowed). The number of calls in an outage is guarded by a_store_that_refuses_keeps_the_zone_together and a_silent_store_keeps_the_zone_together, which pass unchanged.

--- a/src/entry/checks.rs
+++ b/src/entry/checks.rs
@@ -9,7 +9,7 @@
 /// Upper limit of `store.notice_ms`.
 const MAX_NOTICE_MS: u64 = 30_000;
 
-/// Upper limit of `store.bounds_ms`.
+/// Upper limit of `store.bounds_ms` and `store.catch_up_ms`.
 const MAX_BOUND_MS: u64 = 86_400_000;
 
 /// Upper limit of `store.gather_ms`. A draining server must get no new flows later than
@@ -57,6 +57,7 @@
     range("store.reads_per_second", reads, 2, 1_000_000)
         .or_else(|| range("store.notice_ms", store.notice_ms, 100, MAX_NOTICE_MS))
         .or_else(|| check_bounds(&store.bounds_ms))
+        .or_else(|| range("store.catch_up_ms", store.catch_up_ms, 1, MAX_BOUND_MS))
         .or_else(|| range("store.gather_ms", store.gather_ms, 0, MAX_GATHER_MS))
         .or_else(|| {
             range(
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -34,6 +34,10 @@
     /// The shortest one applies; without any the limit is 3 s.
     #[serde(default)]
     pub bounds_ms: Vec<u64>,
+    /// Time after an outage of the store within which its state must be in use here again,
+    /// in milliseconds. Times shorter than 3 s cannot be met.
+    #[serde(default = "default_catch_up_ms")]
+    pub catch_up_ms: u64,
     /// Pause between polls in which changes are collected, in milliseconds.
     #[serde(default = "default_gather_ms")]
     pub gather_ms: u64,
@@ -132,6 +136,10 @@
     3_000
 }
 
+fn default_catch_up_ms() -> u64 {
+    4_000
+}
+
 fn default_gather_ms() -> u64 {
     400
 }
@@ -208,6 +216,10 @@
         shortest.copied().map(Duration::from_millis)
     }
 
+    pub(crate) fn catch_up(&self) -> Duration {
+        Duration::from_millis(self.store.catch_up_ms)
+    }
+
     pub(crate) fn copy_wait(&self) -> Duration {
         Duration::from_millis(self.store.copy_wait_ms)
     }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -121,6 +121,7 @@
         copy_wait: settings.copy_wait(),
         max_age: MAX_UPSTREAM_AGE.mul_f64(scale),
         fresh_age: FRESH_UPSTREAM_AGE.mul_f64(scale),
+        probe_pause: replica::probe_pause(settings.catch_up()),
     }
 }
 
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -48,6 +48,7 @@
 pub(crate) use copy::SharedCopy;
 pub(crate) use follow::FollowOptions;
 pub(crate) use follow::follow;
+pub(crate) use follow::probe_pause;
 pub(crate) use handover::Handover;
 pub(crate) use liveness::monitor_liveness;
 pub(crate) use outcome::OUTCOME_REPORT_INTERVAL;
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -35,6 +35,7 @@
 use crate::replica::copy;
 use crate::replica::follow::poll::LargeValueState;
 use crate::replica::follow::upstream::Cooldown;
+use crate::replica::follow::upstream::RECOVERY_REPORT_TIMEOUT;
 use crate::replica::publish::HEARTBEAT_INTERVAL;
 use crate::replica::register;
 use crate::replica::roster;
@@ -46,15 +47,27 @@
 /// connected, which reports the store's return at once.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Pause before the store is probed again while an upstream is followed that is cut off
-/// from the store as well. Load pattern: the store refuses requests or is silent for
-/// seconds, and the copies of all instances of a fleet become old at once. When each
-/// left its upstream and polled the store again and again, 70 instances made 1,400
-/// calls in five seconds, and the exchange of request outcomes in the zone stopped.
-/// With this pause they make 100 calls. One probe per instance in four seconds is
-/// enough to detect an upstream that alone stays cut off, and an upstream reports the
-/// store's return at once.
-const PROBE_PAUSE: Duration = Duration::from_secs(4);
+/// Time for the calls to the store after an upstream has failed to report its return: one
+/// more probe, one poll for all changes, and their way to the decisions about flows.
+const CATCH_UP_TIME: Duration = Duration::from_millis(700);
+
+/// Shortest pause between two probes, so that they do not overlap with the retries of the
+/// upstream.
+const MIN_PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest pause between two probes; a longer one would save few calls.
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(4);
+
+/// Longest pause between two probes with which an instance that reaches the store uses its
+/// state again within `catch_up` of its return, whatever its upstream does.
+///
+/// The store may return right after a failed probe was sent. The next probe follows after
+/// the pause, then the upstream has [`RECOVERY_REPORT_TIMEOUT`] to report the return, and
+/// then this instance leaves it and polls the store, within [`CATCH_UP_TIME`].
+pub(crate) fn probe_pause(catch_up: Duration) -> Duration {
+    let pause = catch_up.saturating_sub(RECOVERY_REPORT_TIMEOUT + CATCH_UP_TIME);
+    pause.clamp(MIN_PROBE_PAUSE, MAX_PROBE_PAUSE)
+}
 
 /// The sources of changes, and the settings for following them.
 pub(crate) struct FollowOptions {
@@ -113,9 +126,11 @@
     cooldowns: HashMap<SocketAddrV4, Cooldown>,
     is_store_silent: bool,
     store_state: StoreState,
-    /// [`PROBE_PAUSE`] plus up to a quarter, so that a fleet that loses the store at one
-    /// moment does not probe it again at one moment.
+    /// [`PollTiming::probe_pause`] less up to a quarter, so that a fleet that loses the store
+    /// at one moment does not probe it again at one moment.
     probe_pause: Duration,
+    /// When the store was last asked by a poll of this instance's own.
+    polled_at: Instant,
     /// Whether the last poll brought changes.
     had_changes: bool,
     /// Whether the store has dropped the history after the synced revision.
@@ -152,7 +167,10 @@
         log: sources.log.clone(),
     };
     tokio::spawn(maintainer.run());
+    let jitter = (options.seed % 100) as f64 / 400.0;
     let mut follower = Follower {
+        probe_pause: sources.timing.probe_pause.mul_f64(1.0 - jitter),
+        polled_at: Instant::now(),
         sources,
         shared,
         sender,
@@ -163,7 +181,6 @@
         cooldowns: HashMap::new(),
         is_store_silent: true,
         store_state: StoreState::Reachable,
-        probe_pause: PROBE_PAUSE.mul_f64(1.0 + (options.seed % 100) as f64 / 400.0),
         had_changes: false,
         is_compacted: false,
         listing_due: None,
@@ -185,7 +202,7 @@
         }
         match self.update_from_store().await {
             Err(FollowEnd::Failed(error)) => {
-                self.record_failure(&error).await?;
+                self.record_failure(&error, Instant::now()).await?;
                 let pause = self.backoff.next_delay().min(MAX_RETRY_PAUSE);
                 time::sleep(pause).await;
                 Ok(())
@@ -205,19 +222,20 @@
         match self.update_from_store().await {
             Err(FollowEnd::Failed(error)) => {
                 // The next round polls again, after its usual pauses.
-                self.mark_store_unreachable(&error);
+                self.mark_store_unreachable(&error, self.polled_at);
                 Ok(())
             }
             other => other,
         }
     }
 
-    /// Marks the store as unreachable, unless the error is itself a response.
-    fn mark_store_unreachable(&mut self, error: &Error) {
+    /// Marks the store as unreachable, unless the error is itself a response. The pause until
+    /// the next probe counts from `since`.
+    fn mark_store_unreachable(&mut self, error: &Error, since: Instant) {
         if store::needs_listing(error) {
             return;
         }
-        self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause);
+        self.store_state = StoreState::Unreachable(since + self.probe_pause);
     }
 
     /// Whether the store is known not to respond here. Then an upstream with an old copy
@@ -278,6 +296,7 @@
     }
 
     async fn update_from_store(&mut self) -> Result<(), FollowEnd> {
+        self.polled_at = Instant::now();
         match self.shared.synced_revision() {
             None => self.fetch_first_copy().await,
             Some(_) if self.is_compacted => {
@@ -406,9 +425,9 @@
         }
     }
 
-    async fn record_failure(&mut self, error: &Error) -> Result<(), FollowEnd> {
+    async fn record_failure(&mut self, error: &Error, since: Instant) -> Result<(), FollowEnd> {
         self.is_compacted |= store::needs_listing(error);
-        self.mark_store_unreachable(error);
+        self.mark_store_unreachable(error, since);
         if self.is_store_silent && self.backoff.has_failed() {
             return Ok(());
         }
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -87,7 +87,9 @@
                     self.shared.drop_log_later();
                     return Ok(());
                 }
-                Err(FollowEnd::Failed(error)) => self.record_failure(&error).await?,
+                Err(FollowEnd::Failed(error)) => {
+                    self.record_failure(&error, Instant::now()).await?
+                }
                 Err(closed) => return Err(closed),
             }
             let pause = self.backoff.next_delay().min(MAX_RETRY_PAUSE);
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -54,7 +54,7 @@
 
 /// Time within which an upstream reports the return of the store: its own pause between
 /// two attempts, at most a second, plus one call.
-const RECOVERY_REPORT_TIMEOUT: Duration = Duration::from_millis(1_300);
+pub(super) const RECOVERY_REPORT_TIMEOUT: Duration = Duration::from_millis(1_300);
 
 /// Reason for leaving an upstream whose copy grows old while the store responds here.
 const NO_CONTACT: &str = "no contact with the store";
@@ -200,10 +200,12 @@
         let mut report_at = Instant::now();
         let mut probe = Either::Left(future::pending());
         let mut is_probing = false;
+        let mut probed_at = Instant::now();
         loop {
             if !is_probing && self.is_probe_due() && !self.is_store_unreachable() {
                 probe = Either::Right(Box::pin(self.probe_store()));
                 is_probing = true;
+                probed_at = Instant::now();
             }
             let event = tokio::select! {
                 next = subscription.next_update() => Event::Received(next),
@@ -230,7 +232,7 @@
                 Event::Probed(probed) => {
                     probe = Either::Left(future::pending());
                     is_probing = false;
-                    if self.apply_probe(probed).await? {
+                    if self.apply_probe(probed, probed_at).await? {
                         let reason = match self.next_fallback_probe {
                             Some(_) => FALLBACK_OVER,
                             None => NO_CONTACT,
@@ -299,9 +301,13 @@
         age.is_none_or(|age| age > probe_age)
     }
 
-    /// Applies the result of a probe; returns whether the upstream should be left because
-    /// the store responds to this instance but not to the upstream.
-    async fn apply_probe(&mut self, probed: crate::Result<Batch>) -> Result<bool, FollowEnd> {
+    /// Applies the result of a probe sent at `probed_at`; returns whether the upstream should
+    /// be left because the store responds to this instance but not to the upstream.
+    async fn apply_probe(
+        &mut self,
+        probed: crate::Result<Batch>,
+        probed_at: Instant,
+    ) -> Result<bool, FollowEnd> {
         let is_upstream_old = self.is_probe_due();
         match probed {
             Ok(batch) => {
@@ -311,10 +317,10 @@
             }
             Err(error) => {
                 info!(self.sources.log, "probe of the store failed"; "error" => %error);
-                self.record_failure(&error).await?;
+                self.record_failure(&error, probed_at).await?;
                 self.next_fallback_probe = self
                     .next_fallback_probe
-                    .map(|_| Instant::now() + self.probe_pause);
+                    .map(|_| probed_at + self.probe_pause);
                 if !store::needs_listing(&error) {
                     return Ok(false);
                 }
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -54,6 +54,14 @@
     /// Age below which an upstream is worth a subscription. It is lower than `max_age`,
     /// otherwise instances would join and leave an upstream whose age is near that limit.
     pub fresh_age: Duration,
+    /// Longest time between two probes of the store while the upstream's copy is old.
+    ///
+    /// Load pattern: the store refuses requests or is silent for seconds, and the copies of
+    /// all instances of a fleet become old at once. When each left its upstream and polled the
+    /// store again and again, 70 instances made 1,400 calls in five seconds, and the exchange
+    /// of request outcomes in the zone stopped. Upstreams report the return of the store at
+    /// once; a probe detects one that stays cut off.
+    pub probe_pause: Duration,
 }
 
 /// A complete listing.
