Follow: cooldowns of an outage end with it

Callers of an instance that the store refused, or that was cut off from it, after an earlier outage were served with outdated servers and routes for up to 16 s, and so were those of the instances that follow it.

Cause: in an outage nobody has a newer copy, so that each attempt to follow another zone's instance fails and doubles that instance's cooldown. Only a successful subscription ended it.

Change: when the store responds again, the cooldowns are cleared. While the store responds, an upstream that alone is cut off keeps its growing cooldown.

Test: a_head_that_is_cut_off_after_an_outage_follows_another_zone failed before (4.1 s; 3 s allowed).

--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -318,6 +318,7 @@
     }
 
     async fn record_answer(&mut self, contact: StoreContact) -> Result<(), FollowEnd> {
+        self.forget_outage();
         self.is_store_silent = false;
         self.store_state = StoreState::Reachable;
         self.backoff.reset();
@@ -325,6 +326,14 @@
         Ok(self.sender.send(Update::Contact(contact)).await?)
     }
 
+    /// Ends the cooldowns of an outage that the store's response has ended: upstreams that had
+    /// no newer copy then may have one now.
+    fn forget_outage(&mut self) {
+        if matches!(self.store_state, StoreState::Unreachable(_)) {
+            self.cooldowns.clear();
+        }
+    }
+
     async fn reset(
         &mut self,
         entries: Vec<Entry>,
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -385,6 +385,7 @@
     /// the store is probed again.
     fn detect_recovery(&mut self) -> bool {
         let is_recovery = matches!(self.store_state, StoreState::Unreachable(_));
+        self.forget_outage();
         if is_recovery {
             let age = self.shared.age(Instant::now());
             info!(self.sources.log, "store responds again, awaiting report of upstream";
