Flow: log and count packets that carry another server's tag

A caller echoes the tag of the last packet that it received. When a further server answered its SYN as well, that tag names a server that does not have the flow. The instance logged neither that a tag differed from the server of a tracked flow nor which of the two it used, so that a reset by the other server could not be attributed. The event is logged as "tag of another server" and counted as tag_ignored or tag_followed.

--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -102,6 +102,10 @@
         },
         FlowEvent::Released { .. } => "released",
         FlowEvent::AddressClaimed { .. } => "address_claimed",
+        FlowEvent::TagConflict { is_kept, .. } => match is_kept {
+            true => "tag_ignored",
+            false => "tag_followed",
+        },
         FlowEvent::Dropped { .. } => "dropped",
         FlowEvent::Suspected { .. } => "suspected",
         FlowEvent::Stalled { .. } => "stalled",
@@ -160,6 +164,13 @@
             info!(log, "address claimed by another server";
             "outcome" => kind, "server" => %server, "known" => %known)
         }
+        FlowEvent::TagConflict {
+            flow_key,
+            server,
+            tagged,
+            ..
+        } => info!(log, "tag of another server"; "outcome" => kind, "flow" => %flow_key,
+            "server" => %server, "tagged" => %tagged),
         FlowEvent::Dropped { flow_key, reason } => info!(log, "packet dropped";
             "outcome" => kind, "flow" => %flow_key, "reason" => %reason),
         FlowEvent::Suspected { server, misses } => warn!(log, "server suspected";
--- a/src/flow/event.rs
+++ b/src/flow/event.rs
@@ -178,6 +178,17 @@
         /// The server that was known at the address before.
         known: id::Server,
     },
+    /// A packet of a tracked flow has the tag of another server than the flow's.
+    TagConflict {
+        /// The flow.
+        flow_key: FlowKey,
+        /// The flow's server.
+        server: id::Server,
+        /// The server of the tag.
+        tagged: id::Server,
+        /// Whether the flow stays with its server.
+        is_kept: bool,
+    },
     /// A packet was dropped.
     Dropped {
         /// The flow.
--- a/src/flow/plane/established.rs
+++ b/src/flow/plane/established.rs
@@ -7,6 +7,7 @@
 use crate::flow::DataPlane;
 use crate::flow::DropReason;
 use crate::flow::FlowEvent;
+use crate::flow::FlowKey;
 use crate::flow::Segment;
 use crate::flow::Timing;
 use crate::flow::Verdict;
@@ -88,10 +89,14 @@
             let is_former =
                 by_tag.is_some_and(|server_handle| server_handle.is_same_server(flow.server));
             let keeps_server = flow.is_pinned || by_tag.is_none() || is_former;
-            let server_handle = if keeps_server { flow.server } else { by_tag? };
+            let server = flow.server;
+            let server_handle = if keeps_server { server } else { by_tag? };
             if matches!(flow.phase, Phase::Open) {
                 self.move_flow(flow_handle, server_handle);
             }
+            if let Some(tagged) = by_tag.filter(|tagged| *tagged != server && !is_former) {
+                self.record_tag_conflict(segment.flow_key, (server, tagged), keeps_server);
+            }
             return Some(server_handle);
         };
         let is_first_try = opening.tried.len() == 1;
@@ -112,6 +117,24 @@
         Some(server_handle)
     }
 
+    fn record_tag_conflict(
+        &mut self,
+        flow_key: FlowKey,
+        (server, tagged): (ServerHandle, ServerHandle),
+        is_kept: bool,
+    ) {
+        let id_of = |handle| self.directory.get(handle).map(|record| &record.server.id);
+        if let (Some(server), Some(tagged)) = (id_of(server), id_of(tagged)) {
+            let event = FlowEvent::TagConflict {
+                flow_key,
+                server: server.clone(),
+                tagged: tagged.clone(),
+                is_kept,
+            };
+            self.record_event(event);
+        }
+    }
+
     pub(super) fn advance(
         &mut self,
         now: Instant,
