Flow: an open flow stays with its server when another has answered its SYN

An instance took a missing acknowledgement for a silent server if any packet of an open flow had come since the SYN. One that leaves the rotation receives such a packet within the round trip, and the acknowledgement never; it sent the SYN to a second server, which answered as well. The instance that had seen the flow open at the first server then followed the tag of the second answer, because only the instance of the handshake kept the flow.

Ruled out: lost acknowledgements (loopback), and packets at an instance that did not track the flow.

Change. - A tracked flow keeps its server while its sequence numbers continue. The tag decides for flows that this instance does not track, and for later flows with the same endpoints. - A deadline shows a silent server only if a packet came after the acknowledgement was due, and not if the server has answered others since, unless it is known to ignore openings. After 180 ms only the caller's copy counts, so that a process that stood still decides nothing by time. - The first packet after SYNs to several servers goes to an earlier one if its acknowledgement must have been lost or is late. - After a pause, SYNs are dropped whose caller must have sent the next copy. The time of arrival is the last round of the main loop, for all packets of a full socket buffer; it was the time of the late timer, for 256 packets.

Guarded before and still tested, unchanged: all tests of flow::opening.

--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -102,10 +102,7 @@
         },
         FlowEvent::Released { .. } => "released",
         FlowEvent::AddressClaimed { .. } => "address_claimed",
-        FlowEvent::TagConflict { is_kept, .. } => match is_kept {
-            true => "tag_ignored",
-            false => "tag_followed",
-        },
+        FlowEvent::TagIgnored { .. } => "tag_ignored",
         FlowEvent::Dropped { .. } => "dropped",
         FlowEvent::Suspected { .. } => "suspected",
         FlowEvent::Stalled { .. } => "stalled",
@@ -164,11 +161,10 @@
             info!(log, "address claimed by another server";
             "outcome" => kind, "server" => %server, "known" => %known)
         }
-        FlowEvent::TagConflict {
+        FlowEvent::TagIgnored {
             flow_key,
             server,
             tagged,
-            ..
         } => info!(log, "tag of another server"; "outcome" => kind, "flow" => %flow_key,
             "server" => %server, "tagged" => %tagged),
         FlowEvent::Dropped { flow_key, reason } => info!(log, "packet dropped";
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -66,6 +66,10 @@
 /// Largest number of packets received in a row before other events are handled.
 const BATCH: usize = 256;
 
+/// Number of batches that contain all packets of a full socket buffer: 208 KiB, of which the
+/// smallest packet takes 0.75 KiB.
+const MAX_PAUSED_BATCHES: u32 = 2;
+
 /// Longest time between two checks for expired timers.
 const MAX_TIMER_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -105,6 +109,10 @@
     withdrawal: Withdrawal,
     /// Since when this process may not have run, while it receives the packets of that time.
     paused_since: Option<Instant>,
+    /// Number of batches that may still contain packets of that time.
+    paused_batches: u32,
+    /// When the last round of the main loop ended.
+    last_round: Instant,
     reader: Reader,
     /// Signals during a graceful stop that the copy is available elsewhere.
     copy_available: mpsc::Sender<()>,
@@ -156,6 +164,8 @@
         has_handled_backlog: false,
         withdrawal: Withdrawal::default(),
         paused_since: None,
+        paused_batches: 0,
+        last_round: now,
         reader,
         copy_available,
         adapter,
@@ -209,11 +219,23 @@
         wake
     }
 
-    /// Notes whether this process did not run when it should have. Packets that are received
-    /// then may have arrived at any time since.
+    /// Notes whether this process did not run when it should have. The packets in the socket
+    /// buffer may then have arrived at any time since the last round.
     fn note_pause(&mut self, wake: Instant) {
-        let is_paused = Instant::now() > wake + MAX_WAKE_DELAY;
-        self.paused_since = is_paused.then_some(wake);
+        if Instant::now() > wake + MAX_WAKE_DELAY {
+            self.paused_since = Some(self.last_round);
+            self.paused_batches = MAX_PAUSED_BATCHES;
+        }
+    }
+
+    /// Ends the time in which received packets count as old, once those of a pause have been
+    /// handled.
+    fn note_batch(&mut self, is_socket_empty: bool) {
+        self.paused_batches = self.paused_batches.saturating_sub(1);
+        if is_socket_empty || self.paused_batches == 0 {
+            self.paused_since = None;
+        }
+        self.last_round = Instant::now();
     }
 
     /// Handles the waiting packets, then the expired timers. Packets come first, since
@@ -234,6 +256,7 @@
                 }
             }
         }
+        self.note_batch(is_socket_empty);
         self.send_queued();
         let is_overdue = |due: Instant| Instant::now() > due + MAX_TIMER_DELAY;
         if is_socket_empty || self.plane.next_queue_due().is_some_and(is_overdue) {
--- a/src/flow/event.rs
+++ b/src/flow/event.rs
@@ -178,16 +178,14 @@
         /// The server that was known at the address before.
         known: id::Server,
     },
-    /// A packet of a tracked flow has the tag of another server than the flow's.
-    TagConflict {
+    /// A packet has the tag of another server than its flow's, and is forwarded to the flow's.
+    TagIgnored {
         /// The flow.
         flow_key: FlowKey,
         /// The flow's server.
         server: id::Server,
         /// The server of the tag.
         tagged: id::Server,
-        /// Whether the flow stays with its server.
-        is_kept: bool,
     },
     /// A packet was dropped.
     Dropped {
--- a/src/flow/liveness.rs
+++ b/src/flow/liveness.rs
@@ -13,7 +13,7 @@
 /// Upper bound of the handshake timeout.
 ///
 /// Callers retransmit the SYN after 200 ms themselves.
-const MAX_TIMEOUT: Duration = Duration::from_millis(180);
+pub(crate) const MAX_TIMEOUT: Duration = Duration::from_millis(180);
 
 /// Handshake timeout before the first sample.
 const INITIAL_TIMEOUT: Duration = Duration::from_millis(60);
@@ -45,6 +45,12 @@
         self.smoothed.unwrap_or(MIN_TIMEOUT)
     }
 
+    /// Time after which the caller's next packet has arrived if nothing was lost; zero before
+    /// the first sample.
+    pub(crate) fn measured(&self) -> Duration {
+        self.smoothed.unwrap_or_default()
+    }
+
     /// Handshake timeout, after which the server counts as unresponsive.
     pub fn timeout(&self) -> Duration {
         let timeout = self
@@ -70,6 +76,9 @@
     misses: u32,
     suspected_until: Option<Instant>,
     last_answer: Option<Instant>,
+    /// Whether the server left its last opening unanswered while it answered other packets,
+    /// as a server does that has no room for further flows.
+    ignores_openings: bool,
 }
 
 impl Liveness {
@@ -87,7 +96,7 @@
     /// An answer to a later packet shows that the server is alive and that a packet was
     /// lost, which happens on good links too.
     pub(crate) fn missed(&mut self, since: Instant, now: Instant) -> bool {
-        if self.last_answer.is_some_and(|alive| alive >= since) {
+        if self.has_answered_since(since) {
             return false;
         }
         let was_suspected = self.is_suspected(now);
@@ -97,6 +106,26 @@
         !was_suspected
     }
 
+    /// Records that a caller has accepted the server's answer to an opening.
+    pub(crate) fn accepted_opening(&mut self) {
+        self.ignores_openings = false;
+    }
+
+    /// Records that a caller got no answer to an opening that the server got at `since`.
+    pub(crate) fn ignored_opening(&mut self, since: Instant) {
+        self.ignores_openings = self.has_answered_since(since);
+    }
+
+    /// Whether an opening that the server got at `since` was most likely answered: the server has
+    /// answered other packets since, and is not known to ignore openings.
+    pub(crate) fn has_likely_answered(&self, since: Instant) -> bool {
+        self.has_answered_since(since) && !self.ignores_openings
+    }
+
+    fn has_answered_since(&self, since: Instant) -> bool {
+        self.last_answer.is_some_and(|alive| alive >= since)
+    }
+
     /// Whether new flows should avoid the server.
     pub(crate) fn is_suspected(&self, now: Instant) -> bool {
         self.suspected_until.is_some_and(|until| now < until)
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -39,6 +39,7 @@
 use crate::flow::plane::queueing::Control;
 use crate::flow::plane::requests::PendingRequest;
 use crate::flow::record::ServerHandle;
+use crate::flow::table::Attempt;
 use crate::flow::table::Flow;
 use crate::flow::table::Opening;
 use crate::flow::table::Table;
@@ -368,7 +369,8 @@
     }
 
     /// Decides about a packet that may have arrived as early as `arrived`. A copy of an old
-    /// SYN may have opened the flow at another instance meanwhile, so that it is not reset.
+    /// SYN may have opened the flow at another instance meanwhile, so that it is neither reset
+    /// nor, once the caller must have sent that copy, forwarded.
     pub fn receive_late(
         &mut self,
         now: Instant,
@@ -381,7 +383,9 @@
             // The caller has aborted the opening, or a copy of it has opened the flow.
             self.abort_queued(segment);
         }
-        let verdict = if segment.opens() {
+        let verdict = if segment.opens() && handshake::is_outdated(segment, now - arrived) {
+            Verdict::Drop(DropReason::Overdue)
+        } else if segment.opens() {
             self.receive_syn(now, segment, packet)
         } else if segment.flags.syn {
             Verdict::Drop(DropReason::ServerSide)
@@ -530,12 +534,11 @@
         self.directory.use_cold_quota(choice.handle, now);
         if self.table.has_room() {
             let due = now + self.round_trip.timeout();
-            let opening = Opening {
-                tried: vec![choice.handle],
+            let attempt = Attempt {
+                server: choice.handle,
                 sent: now,
-                due,
-                packet: packet.to_vec(),
             };
+            let opening = Opening::new(attempt, due, packet.to_vec());
             let flow = Flow::opening(segment, opening, now);
             let flow_handle = self.table.insert(flow);
             self.count_flow(choice.handle);
--- a/src/flow/plane/established.rs
+++ b/src/flow/plane/established.rs
@@ -7,7 +7,6 @@
 use crate::flow::DataPlane;
 use crate::flow::DropReason;
 use crate::flow::FlowEvent;
-use crate::flow::FlowKey;
 use crate::flow::Segment;
 use crate::flow::Timing;
 use crate::flow::Verdict;
@@ -28,7 +27,7 @@
     pub(super) fn receive_non_syn(&mut self, now: Instant, segment: &Segment) -> Verdict {
         self.last_packet = Some(now);
         let by_tag = self.directory.by_tag(segment.tag);
-        let known = self.table.find(&segment.flow_key);
+        let known = self.find_flow(segment, by_tag);
         let flow_handle = known.or_else(|| self.adopt(now, segment, by_tag?));
         let server_handle = flow_handle
             .and_then(|flow_handle| self.select_server(now, flow_handle, segment, by_tag));
@@ -70,12 +69,24 @@
         Some(flow_handle)
     }
 
+    /// The tracked flow of a packet. One whose endpoints are in use for another flow by now is
+    /// removed: its sequence numbers and tag are different.
+    fn find_flow(&mut self, segment: &Segment, by_tag: Option<ServerHandle>) -> Option<FlowHandle> {
+        let flow_handle = self.table.find(&segment.flow_key)?;
+        let flow = self.table.get(flow_handle)?;
+        let is_tagged = by_tag.is_none_or(|tagged| tagged.is_same_server(flow.server));
+        if is_tagged || flow.is_opening() || flow.continues_with(segment) {
+            return Some(flow_handle);
+        }
+        self.close(flow_handle);
+        None
+    }
+
     /// The server that gets a packet of a tracked flow.
     ///
-    /// The tag determines the server, as at every other instance. The exception is a SYN that
-    /// was sent to several servers: the server whose answer the caller accepted first is
-    /// kept. A later answer from another server replaces the tag that the caller echoes, and
-    /// that server would reset a flow that it does not know.
+    /// An open flow stays with its server, whatever tag its packets carry: several servers may
+    /// have answered the SYN, here or through another instance. A later answer replaces the
+    /// tag that the caller echoes, and its server would reset a flow that it does not know.
     pub(super) fn select_server(
         &mut self,
         now: Instant,
@@ -85,23 +96,17 @@
     ) -> Option<ServerHandle> {
         let flow = self.table.get(flow_handle)?;
         let Phase::Opening(opening) = &flow.phase else {
-            // A flow of a former incarnation stays counted there.
-            let is_former =
-                by_tag.is_some_and(|server_handle| server_handle.is_same_server(flow.server));
-            let keeps_server = flow.is_pinned || by_tag.is_none() || is_former;
-            let server = flow.server;
-            let server_handle = if keeps_server { server } else { by_tag? };
-            if matches!(flow.phase, Phase::Open) {
-                self.move_flow(flow_handle, server_handle);
-            }
-            if let Some(tagged) = by_tag.filter(|tagged| *tagged != server && !is_former) {
-                self.record_tag_conflict(segment.flow_key, (server, tagged), keeps_server);
-            }
+            let server_handle = flow.server;
+            self.note_tag(segment, server_handle, by_tag);
             return Some(server_handle);
         };
-        let is_first_try = opening.tried.len() == 1;
-        let duration = now - opening.sent;
-        let server_handle = by_tag.unwrap_or(flow.server);
+        let attempt = opening.last_attempt();
+        let is_first_try = opening.attempts.len() == 1;
+        let duration = now - attempt.sent;
+        let server_handle = by_tag.map_or(flow.server, |tagged| {
+            self.accepted_server(now, opening, segment, tagged)
+        });
+        self.note_tag(segment, server_handle, by_tag);
         self.move_flow(flow_handle, server_handle);
         self.release_opening(server_handle);
         self.untrack_load(flow_handle);
@@ -113,23 +118,28 @@
         }
         if !segment.flags.rst {
             self.record_answer(server_handle, now);
+            self.record_accepted_opening(server_handle);
         }
         Some(server_handle)
     }
 
-    fn record_tag_conflict(
-        &mut self,
-        flow_key: FlowKey,
-        (server, tagged): (ServerHandle, ServerHandle),
-        is_kept: bool,
-    ) {
+    fn record_accepted_opening(&mut self, server_handle: ServerHandle) {
+        if let Some(record) = self.directory.get_mut(server_handle) {
+            record.liveness.accepted_opening();
+        }
+    }
+
+    /// Records that a flow stays with its server although the packet's tag names another one.
+    fn note_tag(&mut self, segment: &Segment, server: ServerHandle, by_tag: Option<ServerHandle>) {
+        let Some(tagged) = by_tag.filter(|tagged| !tagged.is_same_server(server)) else {
+            return;
+        };
         let id_of = |handle| self.directory.get(handle).map(|record| &record.server.id);
         if let (Some(server), Some(tagged)) = (id_of(server), id_of(tagged)) {
-            let event = FlowEvent::TagConflict {
-                flow_key,
+            let event = FlowEvent::TagIgnored {
+                flow_key: segment.flow_key,
                 server: server.clone(),
                 tagged: tagged.clone(),
-                is_kept,
             };
             self.record_event(event);
         }
--- a/src/flow/plane/handshake.rs
+++ b/src/flow/plane/handshake.rs
@@ -11,11 +11,14 @@
 use crate::flow::FlowEvent;
 use crate::flow::FlowKey;
 use crate::flow::Resend;
+use crate::flow::Segment;
 use crate::flow::Target;
 use crate::flow::Verdict;
+use crate::flow::liveness::MAX_TIMEOUT;
 use crate::flow::record::ServerHandle;
-use crate::flow::table::Flow;
+use crate::flow::table::Attempt;
 use crate::flow::table::FlowHandle;
+use crate::flow::table::Opening;
 use crate::flow::table::Phase;
 
 /// Maximum number of servers that get one SYN, including the first.
@@ -30,10 +33,37 @@
 /// socket buffer while this process did not run, and prove nothing about the server.
 const MIN_RETRANSMISSION_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Minimum time until an undecided handshake is judged again.
+const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Delay of a deadline that indicates that this process was stalled instead of the server:
 /// an answer may be queued in the socket buffer.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
 
+/// Pauses after which callers retransmit a SYN; after the last one they give up.
+const RETRANSMISSION_INTERVALS: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+
+/// Whether a caller must have sent its next SYN already, or have given up, if this one is of
+/// this age. A copy may have opened the flow through another instance. If this SYN reached
+/// another server then, the tag of that server's answer would replace the caller's.
+pub(super) fn is_outdated(segment: &Segment, age: Duration) -> bool {
+    let copy = (segment.ack as usize).min(RETRANSMISSION_INTERVALS.len() - 1);
+    age >= RETRANSMISSION_INTERVALS[copy]
+}
+
+/// What a missed handshake deadline shows about the server.
+enum Judgement {
+    Unresponsive,
+    /// Nothing yet.
+    Undecided,
+    /// Nothing that a later packet of others could add to.
+    LeftToCaller,
+}
+
 impl DataPlane {
     /// Handles a retransmitted SYN, which shows that the caller got no answer. If the server
     /// had enough time to answer, another server is selected.
@@ -48,19 +78,29 @@
         flow.last_seen = now;
         let server = flow.server;
         let (is_opening, is_unanswered) = match &flow.phase {
-            Phase::Opening(opening) => (true, now >= opening.sent + MIN_RETRANSMISSION_INTERVAL),
+            Phase::Opening(opening) => {
+                let sent = opening.last_attempt().sent;
+                (true, now >= sent + MIN_RETRANSMISSION_INTERVAL)
+            }
             Phase::Open | Phase::Closing => (false, false),
         };
         let record = self.directory.get(server);
         if is_opening && record.is_some_and(|record| record.is_evacuated) {
-            return match self.leave_evacuated(now, flow_handle) {
+            let target = self.leave_evacuated(now, flow_handle);
+            self.note_copy(flow_handle);
+            return match target {
                 Some(target) => Verdict::Forward(target),
                 // The server may have answered the first SYN, so that a reset could break an open
                 // flow.
                 None => Verdict::Drop(DropReason::Evacuated),
             };
         }
-        if is_unanswered && let Some(resend) = self.reopen(now, flow_handle) {
+        if is_unanswered {
+            self.record_ignored_opening(flow_handle);
+        }
+        let resend = is_unanswered.then(|| self.reopen(now, flow_handle));
+        self.note_copy(flow_handle);
+        if let Some(resend) = resend.flatten() {
             return Verdict::Forward(resend.target);
         }
         match self.directory.get(server) {
@@ -69,6 +109,30 @@
         }
     }
 
+    fn note_copy(&mut self, flow_handle: FlowHandle) {
+        let flow = self.table.get_mut(flow_handle);
+        if let Some(Phase::Opening(opening)) = flow.map(|flow| &mut flow.phase) {
+            opening.note_copy();
+        }
+    }
+
+    fn record_ignored_opening(&mut self, flow_handle: FlowHandle) {
+        let Some(attempt) = self.last_attempt(flow_handle) else {
+            return;
+        };
+        if let Some(record) = self.directory.get_mut(attempt.server) {
+            record.liveness.ignored_opening(attempt.sent);
+        }
+    }
+
+    /// The last attempt of a handshake that is in progress.
+    fn last_attempt(&self, flow_handle: FlowHandle) -> Option<Attempt> {
+        match &self.table.get(flow_handle)?.phase {
+            Phase::Opening(opening) => Some(opening.last_attempt()),
+            Phase::Open | Phase::Closing => None,
+        }
+    }
+
     /// When [`DataPlane::expire`] has to be called next.
     pub fn next_due(&self) -> Option<Instant> {
         let opening = self
@@ -96,10 +160,19 @@
             };
             // A live server has answered by now, or has refused the opening at the caller.
             self.untrack_load(flow_handle);
-            if now > due + MAX_TIMER_DELAY || !self.proves_miss(flow_handle) {
-                self.extend_deadline(now, flow_handle);
+            if now > due + MAX_TIMER_DELAY {
+                self.extend_deadline(now, flow_handle, self.round_trip.timeout());
                 continue;
             }
+            match self.judge(flow_handle) {
+                Judgement::Unresponsive => {}
+                Judgement::Undecided => {
+                    let interval = self.round_trip.expected().max(MIN_RECHECK_INTERVAL);
+                    self.extend_deadline(now, flow_handle, interval);
+                    continue;
+                }
+                Judgement::LeftToCaller => continue,
+            }
             expired.resends.extend(self.reopen(now, flow_handle));
         }
         self.record_stalls(now);
@@ -118,41 +191,87 @@
         is_due.then_some(flow_handle)
     }
 
-    /// Whether a missing packet of the caller proves that its server did not answer.
+    /// Whether a missing packet of the caller shows that its server did not answer.
     ///
     /// When routers redistribute flows to other instances, the callers' next packets do not
-    /// arrive here. While instances join one by one, packets of other instances' flows
-    /// arrive instead. Without this check, an instance that starts would suspect all servers
-    /// in its first second and open flows at several of them. An unresponsive server is
-    /// still detected by the caller's retransmission, either here or at the instance to
-    /// which the routers now send the packet, and that instance selects a server again.
-    pub(super) fn proves_miss(&self, flow_handle: FlowHandle) -> bool {
-        let Some(Flow {
-            phase: Phase::Opening(opening),
-            ..
-        }) = self.table.get(flow_handle)
-        else {
-            return false;
+    /// arrive here. An instance that leaves the rotation receives nothing any more, so that
+    /// only packets received after the missing one was due show that it would have arrived. While
+    /// instances join one by one, packets of other instances' flows arrive instead. And a
+    /// server that has answered others since has most likely answered this SYN, so that a
+    /// single packet is lost or late. In these cases the SYN would reach a second server
+    /// although the flow is open at the first one. The caller's retransmission shows a miss in all of
+    /// them, either here or at the instance to which the routers now send it.
+    fn judge(&self, flow_handle: FlowHandle) -> Judgement {
+        let Some(Attempt { server, sent }) = self.last_attempt(flow_handle) else {
+            return Judgement::LeftToCaller;
         };
-        let has_received = self.last_packet.is_some_and(|at| at >= opening.sent);
-        let has_adopted = self.last_adoption.is_some_and(|at| at >= opening.sent);
-        has_received && !has_adopted
+        let has_adopted = self.last_adoption.is_some_and(|at| at >= sent);
+        let record = self.directory.get(server);
+        let is_lost = record.is_some_and(|record| record.liveness.has_likely_answered(sent));
+        if has_adopted || is_lost {
+            return Judgement::LeftToCaller;
+        }
+        let answer_due = sent + self.round_trip.measured();
+        match self.last_packet.is_some_and(|at| at >= answer_due) {
+            true => Judgement::Unresponsive,
+            false => Judgement::Undecided,
+        }
     }
 
-    /// Extends the handshake deadline: the missing answer proves nothing yet.
-    pub(super) fn extend_deadline(&mut self, now: Instant, flow_handle: FlowHandle) {
-        let timeout = self.round_trip.timeout();
+    /// Extends the handshake deadline, unless the caller's retransmission is due by then.
+    fn extend_deadline(&mut self, now: Instant, flow_handle: FlowHandle, by: Duration) {
         let Some(flow) = self.table.get_mut(flow_handle) else {
             return;
         };
         let flow_key = flow.flow_key;
-        if let Phase::Opening(opening) = &mut flow.phase {
-            opening.due = now + timeout;
+        if let Phase::Opening(opening) = &mut flow.phase
+            && now + by <= opening.last_attempt().sent + MAX_TIMEOUT
+        {
+            opening.due = now + by;
             self.handshake_deadlines
                 .push(Reverse((opening.due, flow_key)));
         }
     }
 
+    /// The server whose answer a caller has accepted, by its first packet after the SYN.
+    ///
+    /// A caller accepts the first answer but echoes the tag of the last one. They differ when
+    /// a deadline sent the SYN to a further server while the acknowledgement of the first answer
+    /// was lost or late. The caller acknowledges the answer that it accepts at once, or sends
+    /// data with it. Data with the tag of a further server is therefore of a flow at an earlier
+    /// one if that one has answered others since, or if nothing came when the further
+    /// server's answer was due.
+    pub(super) fn accepted_server(
+        &self,
+        now: Instant,
+        opening: &Opening,
+        segment: &Segment,
+        tagged: ServerHandle,
+    ) -> ServerHandle {
+        let attempts = &opening.attempts[opening.since_copy..];
+        let Some(position) = attempts.iter().position(|at| at.server == tagged) else {
+            return tagged;
+        };
+        let (earlier, later) = attempts.split_at(position);
+        let is_handshake = segment.len == 0 && !segment.flags.fin && !segment.flags.rst;
+        let (Some(first), false) = (earlier.first(), is_handshake) else {
+            return tagged;
+        };
+        let liveness = |attempt: &Attempt| {
+            let record = self.directory.get(attempt.server);
+            record.map(|record| record.liveness).unwrap_or_default()
+        };
+        let has_answered = |attempt: &&Attempt| liveness(attempt).has_likely_answered(attempt.sent);
+        if let Some(attempt) = earlier.iter().find(has_answered) {
+            return attempt.server;
+        }
+        let is_late = now >= later[0].sent + self.round_trip.timeout();
+        match is_late && liveness(first).misses() <= 1 {
+            true => first.server,
+            false => tagged,
+        }
+    }
+
     /// Marks the last server of an opening flow as unresponsive and selects another.
     pub(super) fn reopen(&mut self, now: Instant, flow_handle: FlowHandle) -> Option<Resend> {
         let flow = self.table.get(flow_handle)?;
@@ -160,8 +279,8 @@
         let Phase::Opening(opening) = &flow.phase else {
             return None;
         };
-        let sent = opening.sent;
-        let tried = opening.tried.clone();
+        let sent = opening.last_attempt().sent;
+        let tried = opening.tried();
         let packet = opening.packet.clone();
         let silent = flow.server;
         self.record_miss(silent, sent, now);
@@ -190,7 +309,7 @@
             return None;
         };
         let flow_key = flow.flow_key;
-        let tried = opening.tried.clone();
+        let tried = opening.tried();
         let left = &self.directory.get(flow.server)?.server;
         let event = FlowEvent::Evacuated {
             flow_key,
@@ -217,8 +336,10 @@
         let flow = self.table.get_mut(flow_handle)?;
         let flow_key = flow.flow_key;
         if let Phase::Opening(opening) = &mut flow.phase {
-            opening.tried.push(server_handle);
-            opening.sent = now;
+            opening.attempts.push(Attempt {
+                server: server_handle,
+                sent: now,
+            });
             opening.due = due;
             self.handshake_deadlines.push(Reverse((due, flow_key)));
         }
@@ -265,12 +386,12 @@
             let Phase::Opening(opening) = &flow.phase else {
                 continue;
             };
-            let sent = opening.sent;
+            let sent = opening.last_attempt().sent;
             if now < sent + expected {
                 continue;
             }
             let server = flow.server;
-            given_up.extend(opening.tried.iter().copied());
+            given_up.extend(opening.tried());
             self.begin_closing(flow_handle);
             self.record_miss(server, sent, now);
         }
--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -13,19 +13,53 @@
 use crate::flow::record::ServerHandle;
 use crate::flow::segment::is_after;
 
+/// A server that got a SYN.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) server: ServerHandle,
+    pub(crate) sent: Instant,
+}
+
 /// A handshake in progress.
 #[derive(Debug)]
 pub(crate) struct Opening {
+    /// Index of the last attempt when the caller last sent the SYN. None of the earlier servers
+    /// had answered by then.
+    pub(crate) since_copy: usize,
     /// Servers that got the SYN, in order; never empty.
-    pub(crate) tried: Vec<ServerHandle>,
-    /// When the last of them got the SYN.
-    pub(crate) sent: Instant,
+    pub(crate) attempts: Vec<Attempt>,
     /// When the last of them counts as unresponsive.
     pub(crate) due: Instant,
     /// The SYN, to be sent to a further server.
     pub(crate) packet: Vec<u8>,
 }
 
+impl Opening {
+    pub(crate) fn new(attempt: Attempt, due: Instant, packet: Vec<u8>) -> Self {
+        Self {
+            since_copy: 0,
+            attempts: vec![attempt],
+            due,
+            packet,
+        }
+    }
+
+    pub(crate) fn last_attempt(&self) -> Attempt {
+        self.attempts[self.attempts.len() - 1]
+    }
+
+    /// The servers that got the SYN.
+    pub(crate) fn tried(&self) -> Vec<ServerHandle> {
+        let attempts = self.attempts.iter();
+        attempts.map(|attempt| attempt.server).collect()
+    }
+
+    /// Notes that the caller has sent the SYN again.
+    pub(crate) fn note_copy(&mut self) {
+        self.since_copy = self.attempts.len() - 1;
+    }
+}
+
 /// Phase of a flow.
 #[derive(Debug)]
 pub(crate) enum Phase {
@@ -58,9 +92,6 @@
     pub(crate) flow_key: FlowKey,
     pub(crate) server: ServerHandle,
     pub(crate) phase: Phase,
-    /// Whether several servers got the SYN, so that a late answer may have replaced the
-    /// caller's tag by that of the wrong server.
-    pub(crate) is_pinned: bool,
     /// Whether its opening or request is counted at the server for admission.
     pub(crate) is_in_progress: bool,
     /// Sequence number of the SYN; `None` if another instance received it.
@@ -85,9 +116,8 @@
     pub(crate) fn opening(segment: &Segment, opening: Opening, now: Instant) -> Self {
         Self {
             flow_key: segment.flow_key,
-            server: opening.tried[0],
+            server: opening.last_attempt().server,
             phase: Phase::Opening(Box::new(opening)),
-            is_pinned: false,
             is_in_progress: false,
             syn_seq: Some(segment.seq),
             created_at: now,
@@ -108,7 +138,6 @@
             flow_key: segment.flow_key,
             server,
             phase: Phase::Open,
-            is_pinned: false,
             is_in_progress: false,
             syn_seq: None,
             created_at: now,
@@ -129,17 +158,18 @@
 
     /// Completes the handshake: the caller has accepted the answer of this server.
     pub(crate) fn open(&mut self, server: ServerHandle, segment: &Segment) {
-        let tries = match &self.phase {
-            Phase::Opening(opening) => opening.tried.len(),
-            Phase::Open | Phase::Closing => 1,
-        };
-        self.is_pinned = tries > 1;
         self.server = server;
         self.phase = Phase::Open;
         self.ack = segment.ack;
         self.end = segment.seq;
     }
 
+    /// Whether a packet belongs to this flow, and not to a later one with the same endpoints.
+    /// Both ends choose the first sequence number of each flow at random.
+    pub(crate) fn continues_with(&self, segment: &Segment) -> bool {
+        is_near(segment.seq, self.end) && (!segment.flags.ack || is_near(segment.ack, self.ack))
+    }
+
     /// Completes the answer to the last request, if there is one.
     pub(crate) fn end_answer(&mut self) -> Option<Answer> {
         let micros = self.response_time.take()?;
@@ -186,6 +216,18 @@
     }
 }
 
+/// Bytes by which a packet may be behind the last one of its flow: several times the 16
+/// packets that an endpoint has in flight.
+const MAX_BYTES_BEHIND: u32 = 1 << 16;
+
+/// Bytes by which a packet may be ahead of the last one of its flow that was seen here. Others
+/// may have gone through other instances.
+const MAX_BYTES_AHEAD: u32 = 1 << 24;
+
+fn is_near(number: u32, last: u32) -> bool {
+    number.wrapping_sub(last) < MAX_BYTES_AHEAD || last.wrapping_sub(number) < MAX_BYTES_BEHIND
+}
+
 /// A completed answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Answer {
--- a/tests/flow/opening.rs
+++ b/tests/flow/opening.rs
@@ -1,8 +1,14 @@
 //! Handshakes: unresponsive servers, retransmissions, and a stalled process.
 
+use godwitreel::flow::DataPlane;
+use godwitreel::flow::DropReason;
 use godwitreel::flow::Expired;
 use godwitreel::flow::FlowEvent;
 use godwitreel::flow::Resend;
+use godwitreel::flow::Segment;
+use godwitreel::flow::StateUpdate;
+use godwitreel::flow::Target;
+use godwitreel::flow::Verdict;
 use tokio::time::Instant;
 
 use crate::support::*;
@@ -249,3 +255,221 @@
     let verdict = plane.receive(now + ms(31), &first.data(0, target.tag), b"");
     assert_eq!(forwarded(verdict), target);
 }
+
+/// Two servers, of which the first has got the caller's SYN and the other answers others.
+struct Handshake {
+    plane: DataPlane,
+    now: Instant,
+    caller: Caller,
+    first: Target,
+    second: Target,
+}
+
+/// An instance whose round trips take 5 ms, with a handshake that has just begun.
+fn handshake() -> Handshake {
+    let began = Instant::now();
+    let servers = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+    let mut plane = plane(began, servers);
+    let other = Caller::new(100, BOOKINGS);
+    let second = open(&mut plane, began, &other);
+    let now = began + ms(100);
+    let caller = Caller::new(1, BOOKINGS);
+    let first = forwarded(plane.receive(now, &caller.opening(0), b"first"));
+    assert_ne!(first, second, "the least loaded server");
+    Handshake {
+        plane,
+        now,
+        caller,
+        first,
+        second,
+    }
+}
+
+impl Handshake {
+    /// A packet of a flow that another caller has open at the second server.
+    fn other_packet(&mut self, at: u64) {
+        let other = Caller::new(100, BOOKINGS).acknowledge(0, self.second.tag);
+        self.plane.receive(self.now + ms(at), &other, b"");
+    }
+
+    fn resends(&mut self, until: u64) -> Vec<Resend> {
+        let mut resends = Vec::new();
+        let end = self.now + ms(until);
+        while let Some(due) = self.plane.next_due().filter(|due| *due <= end) {
+            resends.extend(self.plane.expire(due).resends);
+        }
+        resends
+    }
+
+    fn target(&mut self, at: u64, segment: &Segment) -> Target {
+        forwarded(self.plane.receive(self.now + ms(at), segment, b""))
+    }
+
+    /// Lets the deadline pass, after which the SYN is sent to the second server.
+    fn resend(&mut self) {
+        self.other_packet(6);
+        let resends = self.resends(30);
+        assert_eq!(resends.len(), 1, "{resends:?}");
+        assert_eq!(resends[0].target, self.second);
+    }
+}
+
+// An instance that leaves the rotation forwards the SYN, and the acknowledgement goes to another
+// one. Guards against a SYN that opens an answered flow at a second server as well.
+#[test]
+fn an_instance_that_leaves_the_rotation_suspects_no_server() {
+    let mut handshake = handshake();
+    handshake.other_packet(1);
+    assert_eq!(handshake.resends(300), Vec::new());
+}
+
+// Guards against a silent server that is found late because no other packet came in time.
+#[test]
+fn a_silent_server_is_found_as_soon_as_other_packets_arrive() {
+    let mut handshake = handshake();
+    handshake.other_packet(1);
+    assert_eq!(handshake.resends(40), Vec::new());
+    handshake.other_packet(41);
+    assert_eq!(handshake.resends(50).len(), 1);
+}
+
+// Guards against a second server when a single packet of the handshake was lost.
+#[test]
+fn a_server_that_answers_others_meanwhile_is_not_passed_over_by_time() {
+    let began = Instant::now();
+    let mut plane = plane(began, vec![server(1, "dispatch", LOCAL)]);
+    let other = Caller::new(100, BOOKINGS);
+    let target = open(&mut plane, began, &other);
+    let now = began + ms(100);
+    plane.receive(now, &Caller::new(1, BOOKINGS).opening(0), b"");
+    plane.receive(now + ms(6), &other.acknowledge(500, target.tag), b"");
+    plane.apply(
+        now + ms(7),
+        StateUpdate::Server(server(2, "dispatch", LOCAL)),
+    );
+    while let Some(due) = plane.next_due().filter(|due| *due <= now + ms(300)) {
+        assert_eq!(plane.expire(due), Expired::default());
+    }
+}
+
+// A server without room answers its open flows only. Guards against openings that wait there
+// for their callers' copies, once one of them has shown it.
+#[test]
+fn openings_at_a_server_that_ignores_them_are_resent_by_time() {
+    let began = Instant::now();
+    let mut plane = plane(began, vec![server(1, "dispatch", LOCAL)]);
+    let open_flow = Caller::new(100, BOOKINGS);
+    let full = open(&mut plane, began, &open_flow);
+    let first = Caller::new(1, BOOKINGS);
+    plane.receive(began + ms(100), &first.opening(0), b"first");
+    plane.receive(began + ms(106), &open_flow.acknowledge(500, full.tag), b"");
+    let copy = plane.receive(began + ms(300), &first.opening(1), b"first");
+    assert_eq!(forwarded(copy), full, "the only server");
+
+    let at = began + ms(320);
+    plane.receive(at, &Caller::new(2, BOOKINGS).opening(0), b"second");
+    plane.receive(at + ms(6), &open_flow.acknowledge(900, full.tag), b"");
+    plane.apply(
+        at + ms(7),
+        StateUpdate::Server(server(2, "dispatch", LOCAL)),
+    );
+    let mut resends = Vec::new();
+    while let Some(due) = plane.next_due().filter(|due| *due <= at + ms(60)) {
+        resends.extend(plane.expire(due).resends);
+    }
+    let is_second = |resend: &Resend| resend.packet == b"second";
+    assert!(resends.iter().any(is_second), "{resends:?}");
+}
+
+// The acknowledgement of the first server's answer is lost. Guards against a flow that follows the
+// tag of the second server's later answer.
+#[test]
+fn a_lost_acknowledgement_moves_no_flow_to_the_second_server() {
+    let mut handshake = handshake();
+    handshake.resend();
+    let data = handshake.caller.data(0, handshake.second.tag);
+    assert_eq!(handshake.target(150, &data), handshake.first);
+}
+
+// As above, but the acknowledgement is only late and comes after the data.
+#[test]
+fn a_late_acknowledgement_moves_no_flow_to_the_second_server() {
+    let mut handshake = handshake();
+    handshake.resend();
+    let acknowledgement = handshake.caller.acknowledge(0, handshake.first.tag);
+    assert_eq!(handshake.target(40, &acknowledgement), handshake.first);
+    let data = handshake.caller.data(0, handshake.second.tag);
+    assert_eq!(handshake.target(41, &data), handshake.first);
+}
+
+// The first server is silent. Guards against a flow that is kept there although its caller has
+// accepted the answer of the second one.
+#[test]
+fn the_server_whose_answer_was_acknowledged_gets_the_flow() {
+    let mut handshake = handshake();
+    handshake.resend();
+    let second = handshake.second;
+    let acknowledgement = handshake.caller.acknowledge(0, second.tag);
+    assert_eq!(handshake.target(32, &acknowledgement), second);
+    let data = handshake.caller.data(0, second.tag);
+    assert_eq!(handshake.target(90, &data), second);
+}
+
+// As above, for a caller that acknowledges the answer with its first data.
+#[test]
+fn the_server_whose_answer_was_acknowledged_by_data_gets_the_flow() {
+    let mut handshake = handshake();
+    handshake.resend();
+    let data = handshake.caller.data(0, handshake.second.tag);
+    assert_eq!(handshake.target(32, &data), handshake.second);
+}
+
+// Another instance has sent the SYN to two servers. Guards against an instance that follows the
+// later answer's tag although it has seen the flow open at the first server.
+#[test]
+fn a_flow_opened_elsewhere_stays_with_its_server() {
+    let mut handshake = handshake();
+    let adopted = Caller::new(7, BOOKINGS);
+    let (first, second) = (handshake.first, handshake.second);
+    assert_eq!(
+        handshake.target(1, &adopted.acknowledge(0, first.tag)),
+        first
+    );
+    assert_eq!(handshake.target(9, &adopted.data(0, second.tag)), first);
+    let events = handshake.plane.take_events().0;
+    let is_ignored = |event: &FlowEvent| matches!(event, FlowEvent::TagIgnored { .. });
+    assert!(events.iter().any(is_ignored), "{events:?}");
+}
+
+// Guards against a new flow that goes to the server of an earlier one with the same endpoints.
+#[test]
+fn a_new_flow_with_the_same_endpoints_goes_to_its_own_server() {
+    let mut handshake = handshake();
+    let earlier = Caller::new(7, BOOKINGS);
+    let (first, second) = (handshake.first, handshake.second);
+    assert_eq!(
+        handshake.target(1, &earlier.acknowledge(0, first.tag)),
+        first
+    );
+    let later = Caller {
+        seq: earlier.seq.wrapping_add(1 << 30),
+        ack: earlier.ack.wrapping_add(1 << 29),
+        ..earlier
+    };
+    assert_eq!(handshake.target(9, &later.data(0, second.tag)), second);
+}
+
+// An instance wakes after seconds. Guards against old SYNs that reach further servers while a copy
+// has opened the flow through another instance.
+#[test]
+fn a_syn_that_its_caller_has_sent_again_since_is_dropped() {
+    let Handshake { mut plane, now, .. } = handshake();
+    for (copy, age) in [(0, 200), (1, 400), (2, 800)] {
+        let caller = Caller::new(20 + copy as u16, BOOKINGS);
+        let syn = caller.opening(copy);
+        let verdict = plane.receive_late(now + ms(age), now, &syn, b"");
+        assert_eq!(verdict, Verdict::Drop(DropReason::Overdue));
+        let verdict = plane.receive_late(now + ms(age - 1), now, &syn, b"");
+        assert!(matches!(verdict, Verdict::Forward(_)), "{verdict:?}");
+    }
+}
