Settings: a time may be a fraction, large or absent

Cause: the template made milliseconds of seconds by appending digits, and the settings took whole numbers only. Every instance ended at every start. An absent figure left a hole in the file, and a figure above a limit of the program's own was refused as well.

Evidence, the log of each start: "grace_ms: 6.5: want u64". The new tests on the former code show the same for store.bounds_ms, store.catch_up_ms, flow_ttl_s and link_mbps, and a syntax error for each absent figure.

Change: the template writes figures as they are, in their unit (grace_s is new), and only those that there are. Times are numbers with or without a fraction. Grace, bounds and catching up are rounded down to whole milliseconds, the lifetime of a flow up.

Why it works: what a figure looks like no longer decides whether the file can be read; only a time of 0 or below, or none at all, is refused. Bounds above 3 s never had an effect (start::poll_timing), so the template lists 3 s first, which needs no comma after it when there are no bounds.

Tests: platform/tests/figures.rs, six of whose seven failed before; a_figure_below_or_of_zero_is_refused guards what was checked before. the_platforms_template_passes_the_check fills in the template as the platform does instead of replacing its text piece by piece, since the pieces have changed; it checks the same four deployments.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -594,9 +594,10 @@
             Ok(settings) => {
                 self.plane.set_spill(settings.spill);
                 self.settings.grace_ms = settings.grace_ms;
+                self.settings.grace_s = settings.grace_s;
                 self.settings.spill = settings.spill;
                 info!(self.log, "settings reloaded"; "spill" => settings.spill,
-                    "grace_ms" => settings.grace_ms);
+                    "grace_ms" => settings.grace().as_millis() as u64);
             }
             Err(error) => {
                 warn!(self.log, "settings refused"; "error" => %error);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -15,8 +15,20 @@
 use crate::replica::Bandwidth;
 use crate::settings;
 use crate::settings::Log;
+use crate::settings::Milliseconds;
+use crate::settings::Seconds;
 use crate::settings::jsonc::Source;
 
+/// Duration of a graceful stop, if none is configured.
+const DEFAULT_GRACE: Duration = Duration::from_secs(6);
+
+/// Longest grace time that a graceful stop makes use of.
+const MAX_GRACE: Duration = Duration::from_secs(3_600);
+
+/// Longest lifetime of a flow that is tracked. An older flow is tracked anew at its next
+/// packet.
+const MAX_FLOW_TTL: Duration = Duration::from_secs(86_400);
+
 /// Addresses of the store and how this instance uses it.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,11 +45,11 @@
     /// Times in which changes of the store must take effect here, in milliseconds.
     /// The shortest one applies; without any the limit is 3 s.
     #[serde(default)]
-    pub bounds_ms: Vec<u64>,
+    pub bounds_ms: Vec<Milliseconds>,
     /// Time after an outage of the store within which its state must be in use here again,
     /// in milliseconds. Times shorter than 3 s cannot be met.
     #[serde(default = "default_catch_up_ms")]
-    pub catch_up_ms: u64,
+    pub catch_up_ms: Milliseconds,
     /// Pause between polls in which changes are collected, in milliseconds.
     #[serde(default = "default_gather_ms")]
     pub gather_ms: u64,
@@ -102,10 +114,13 @@
     pub store: Store,
     /// Longest lifetime of a flow, in seconds.
     #[serde(default = "default_flow_ttl_s")]
-    pub flow_ttl_s: u64,
+    pub flow_ttl_s: Seconds,
     /// Longest duration of a graceful stop, in milliseconds.
-    #[serde(default = "default_grace_ms")]
-    pub grace_ms: u64,
+    #[serde(default)]
+    pub grace_ms: Option<Milliseconds>,
+    /// The same in seconds; only one of both may be set.
+    #[serde(default)]
+    pub grace_s: Option<Seconds>,
     /// Margin, in requests per slot, by which a server of another zone must be less
     /// loaded than the servers of this zone before it gets a new flow.
     #[serde(default = "default_spill")]
@@ -136,8 +151,8 @@
     3_000
 }
 
-fn default_catch_up_ms() -> u64 {
-    4_000
+fn default_catch_up_ms() -> Milliseconds {
+    Milliseconds(4_000.0)
 }
 
 fn default_gather_ms() -> u64 {
@@ -150,12 +165,8 @@
     60
 }
 
-fn default_flow_ttl_s() -> u64 {
-    60
-}
-
-fn default_grace_ms() -> u64 {
-    6_000
+fn default_flow_ttl_s() -> Seconds {
+    Seconds(60.0)
 }
 
 /// Chosen from the range 0.75 to 4 under bursts, partitions and server failures. A
@@ -211,13 +222,14 @@
     }
 
     /// The shortest time in which changes must take effect, if one is configured.
-    pub(crate) fn bound(&self) -> Option<Duration> {
-        let shortest = self.store.bounds_ms.iter().min();
-        shortest.copied().map(Duration::from_millis)
+    pub fn bound(&self) -> Option<Duration> {
+        let bounds = self.store.bounds_ms.iter();
+        bounds.map(|bound| bound.rounded_down()).min()
     }
 
-    pub(crate) fn catch_up(&self) -> Duration {
-        Duration::from_millis(self.store.catch_up_ms)
+    /// Time after an outage of the store within which its state must be in use again.
+    pub fn catch_up(&self) -> Duration {
+        self.store.catch_up_ms.rounded_down()
     }
 
     pub(crate) fn copy_wait(&self) -> Duration {
@@ -228,11 +240,16 @@
         Duration::from_millis(self.store.gather_ms)
     }
 
-    pub(crate) fn flow_ttl(&self) -> Duration {
-        Duration::from_secs(self.flow_ttl_s)
+    /// Longest lifetime of a flow.
+    pub fn flow_ttl(&self) -> Duration {
+        let flow_ttl = Milliseconds::from(self.flow_ttl_s).rounded_up();
+        flow_ttl.min(MAX_FLOW_TTL)
     }
 
-    pub(crate) fn grace(&self) -> Duration {
-        Duration::from_millis(self.grace_ms)
+    /// Longest duration of a graceful stop.
+    pub fn grace(&self) -> Duration {
+        let grace = self.grace_s.map(Milliseconds::from).or(self.grace_ms);
+        let grace = grace.map_or(DEFAULT_GRACE, Milliseconds::rounded_down);
+        grace.min(MAX_GRACE)
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod checks;
 pub(crate) mod jsonc;
+mod time;
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -27,6 +28,8 @@
 use crate::settings::jsonc::Source;
 
 pub use crate::key::Key;
+pub use crate::settings::time::Milliseconds;
+pub use crate::settings::time::Seconds;
 
 /// Largest settings or document file, in bytes.
 const MAX_FILE_LEN: u64 = 1 << 20;
--- a/src/settings/checks.rs
+++ b/src/settings/checks.rs
@@ -41,6 +41,13 @@
     refuse(field, value, format_args!("{min} to {max}"))
 }
 
+pub(crate) fn positive(field: &str, value: f64) -> Check {
+    if value > 0.0 {
+        return None;
+    }
+    refuse(field, value, "a number above 0")
+}
+
 /// The first refused field of a daemon's settings.
 pub(crate) fn daemon(daemon: &Daemon) -> Check {
     check_numbers(daemon)
