--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,6 +12,7 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -61,6 +62,7 @@
 use crate::replica::FleetLiveness;
 use crate::replica::Handover;
 use crate::replica::OUTCOME_REPORT_INTERVAL;
+use crate::replica::PollTiming;
 use crate::replica::Update;
 
 /// Largest number of packets received in a row before other events are handled.
@@ -114,6 +116,8 @@
     /// When the last round of the main loop ended.
     last_round: Instant,
     reader: Reader,
+    /// Times by which the copy follows the store.
+    timing: watch::Sender<PollTiming>,
     /// Signals during a graceful stop that the copy is available elsewhere.
     copy_available: mpsc::Sender<()>,
 }
@@ -127,7 +131,8 @@
     let mut signals = Signals::new()?;
     let reader = start::reader(&settings, &adapter)?;
     let transport = reader.client().transport();
-    let replication = start::follow(&settings, &adapter, reader.clone(), &log).await?;
+    let (timing, poll_timing) = watch::channel(start::poll_timing(&settings));
+    let replication = start::follow(&settings, &adapter, reader.clone(), poll_timing, &log).await?;
     let (mut updates, replica) = replication;
     let (copy_available, mut copy_available_signals) = mpsc::channel(1);
     let (sender, mut liveness_rounds) = mpsc::channel(1);
@@ -167,6 +172,7 @@
         paused_batches: 0,
         last_round: now,
         reader,
+        timing,
         copy_available,
         adapter,
         settings,
@@ -591,20 +597,32 @@
     /// current settings stay in force.
     fn reload(&mut self, file: &Path) {
         match Settings::load(file) {
-            Ok(settings) => {
-                self.plane.set_spill(settings.spill);
-                self.settings.grace_ms = settings.grace_ms;
-                self.settings.grace_s = settings.grace_s;
-                self.settings.spill = settings.spill;
-                info!(self.log, "settings reloaded"; "spill" => settings.spill,
-                    "grace_ms" => settings.grace().as_millis() as u64);
-            }
+            Ok(settings) => self.apply_settings(settings),
             Err(error) => {
                 warn!(self.log, "settings refused"; "error" => %error);
             }
         }
     }
 
+    /// Applies the settings that can change at run time; the others stay as they are until
+    /// the next start.
+    fn apply_settings(&mut self, settings: Settings) {
+        let link = settings.link_mbps;
+        self.plane.set_spill(settings.spill);
+        self.plane.set_flow_ttl(settings.flow_ttl());
+        self.socket.set_link_rate(link.bytes_per_second());
+        self.replica.pacer.set_link(link, Instant::now());
+        // The follower has ended only if this instance ends.
+        let _ = self.timing.send(start::poll_timing(&settings));
+        let ms = |time: Duration| time.as_millis() as u64;
+        info!(self.log, "settings reloaded"; "spill" => settings.spill,
+            "grace_ms" => ms(settings.grace()), "flow_ttl_ms" => ms(settings.flow_ttl()),
+            "bound_ms" => settings.bound().map(ms), "catch_up_ms" => ms(settings.catch_up()),
+            "link_mbps" => link.0);
+        self.settings.grace_ms = settings.grace_ms;
+        self.settings.grace_s = settings.grace_s;
+    }
+
     fn status(&self) -> Status {
         let now = Instant::now();
         let records = self.plane.directory().records();
--- a/src/entry/socket.rs
+++ b/src/entry/socket.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Sets the rate of the link, in bytes per second.
+    pub(crate) fn set_link_rate(&mut self, bytes_per_second: f64) {
+        self.egress.set_rate(bytes_per_second);
+    }
+
     pub(crate) async fn readable(&self) -> io::Result<()> {
         self.udp.readable().await
     }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::entry::Adapter;
@@ -107,7 +108,7 @@
     Ok(Reader::new(client, adapter.dialect))
 }
 
-fn poll_timing(settings: &Settings) -> PollTiming {
+pub(crate) fn poll_timing(settings: &Settings) -> PollTiming {
     let bound = settings.bound().unwrap_or(DEFAULT_BOUND);
     let bound = bound.clamp(MIN_BOUND, DEFAULT_BOUND);
     let scale = bound.div_duration_f64(DEFAULT_BOUND);
@@ -141,6 +142,7 @@
     settings: &Settings,
     adapter: &Adapter,
     reader: Reader,
+    timing: watch::Receiver<PollTiming>,
     log: &Logger,
 ) -> Result<(mpsc::Receiver<Update>, Arc<replica::SharedCopy>)> {
     let listener = TcpListener::bind(settings.peers).await;
@@ -162,7 +164,7 @@
             evacuation_prefix: adapter.schema.evacuation_prefix,
             config_key: adapter.schema.config_key,
         },
-        timing: poll_timing(settings),
+        timing,
         me: member.clone(),
         seeds: settings.seeds.clone(),
         log: log.clone(),
--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -636,6 +636,11 @@
         missing.filter(|missing| !record.has_answered_since(*missing))
     }
 
+    /// Sets for how long a server without an entry is kept.
+    pub fn set_retention(&mut self, retention: Duration) {
+        self.retention = retention;
+    }
+
     /// Removes servers that have been missing for longer than the lifetime of a flow.
     pub fn forget(&mut self, now: Instant) {
         while let Some((missing, handle)) = self.missing.front().copied()
--- a/src/flow/egress.rs
+++ b/src/flow/egress.rs
@@ -99,10 +99,8 @@
 impl Egress {
     /// Creates an empty queue for a link with this rate.
     pub fn new(bytes_per_second: f64, now: Instant) -> Self {
-        let bytes_per_second = bytes_per_second * CALLER_SHARE;
-        let max_bytes = bytes_per_second * MAX_QUEUE_TIME.as_secs_f64();
-        Self {
-            bytes_per_second,
+        let mut egress = Self {
+            bytes_per_second: 0.0,
             link_free_at: now,
             virtual_time: 0,
             arrivals: 0,
@@ -110,8 +108,17 @@
             position_by_data: HashMap::new(),
             flow_queues: HashMap::new(),
             queued_bytes: 0,
-            max_bytes: max_bytes.min(MAX_QUEUE_BYTES) as usize,
-        }
+            max_bytes: 0,
+        };
+        egress.set_rate(bytes_per_second);
+        egress
+    }
+
+    /// Sets the rate of the link. Queued datagrams stay queued.
+    pub fn set_rate(&mut self, bytes_per_second: f64) {
+        self.bytes_per_second = bytes_per_second * CALLER_SHARE;
+        let max_bytes = self.bytes_per_second * MAX_QUEUE_TIME.as_secs_f64();
+        self.max_bytes = max_bytes.min(MAX_QUEUE_BYTES) as usize;
     }
 
     /// Whether a datagram may be sent at once; if so, it is charged to the link.
--- a/src/flow/plane.rs
+++ b/src/flow/plane.rs
@@ -297,6 +297,12 @@
         self.options.spill = spill;
     }
 
+    /// Sets the maximum lifetime of a flow.
+    pub fn set_flow_ttl(&mut self, flow_ttl: Duration) {
+        self.options.flow_ttl = flow_ttl;
+        self.directory.set_retention(flow_ttl);
+    }
+
     /// Whether a configuration and at least some servers are known, so that callers can be
     /// served.
     pub fn is_ready(&self) -> bool {
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -73,7 +73,8 @@
 pub(crate) struct FollowOptions {
     pub(crate) reader: Reader,
     pub(crate) keys: KeyLayout,
-    pub(crate) timing: PollTiming,
+    /// Changes when the settings are reloaded.
+    pub(crate) timing: watch::Receiver<PollTiming>,
     /// This instance, as registered for others.
     pub(crate) me: Member,
     /// Instances to ask for a copy when the store does not respond at the start.
@@ -126,9 +127,9 @@
     cooldowns: HashMap<SocketAddrV4, Cooldown>,
     is_store_silent: bool,
     store_state: StoreState,
-    /// [`PollTiming::probe_pause`] less up to a quarter, so that a fleet that loses the store
-    /// at one moment does not probe it again at one moment.
-    probe_pause: Duration,
+    /// Share of [`PollTiming::probe_pause`] by which pauses are shortened, up to a quarter, so
+    /// that a fleet that loses the store at one moment does not probe it again at one moment.
+    probe_jitter: f64,
     /// When the store was last asked by a poll of this instance's own.
     polled_at: Instant,
     /// Whether the last poll brought changes.
@@ -167,9 +168,8 @@
         log: sources.log.clone(),
     };
     tokio::spawn(maintainer.run());
-    let jitter = (options.seed % 100) as f64 / 400.0;
     let mut follower = Follower {
-        probe_pause: sources.timing.probe_pause.mul_f64(1.0 - jitter),
+        probe_jitter: (options.seed % 100) as f64 / 400.0,
         polled_at: Instant::now(),
         sources,
         shared,
@@ -211,9 +211,18 @@
         }
     }
 
+    fn timing(&self) -> PollTiming {
+        *self.sources.timing.borrow()
+    }
+
+    /// Pause of this instance between two probes of the store.
+    fn probe_pause(&self) -> Duration {
+        self.timing().probe_pause.mul_f64(1.0 - self.probe_jitter)
+    }
+
     fn is_copy_old(&self) -> bool {
         let age = self.shared.age(Instant::now());
-        age.is_none_or(|age| age > self.sources.timing.max_age)
+        age.is_none_or(|age| age > self.timing().max_age)
     }
 
     /// Polls the store without waiting for a change.
@@ -235,7 +244,7 @@
         if store::needs_listing(error) {
             return;
         }
-        self.store_state = StoreState::Unreachable(since + self.probe_pause);
+        self.store_state = StoreState::Unreachable(since + self.probe_pause());
     }
 
     /// Whether the store is known not to respond here. Then an upstream with an old copy
--- a/src/replica/follow/poll.rs
+++ b/src/replica/follow/poll.rs
@@ -166,7 +166,7 @@
         let operator_revision =
             synced_revision.max(self.large.synced_revision.min(self.large.orders_revision));
         let reads_newest = self.large.is_changing(sent_at);
-        let timing = self.sources.timing;
+        let timing = self.timing();
         let transfer_wait = timing.subscribed_wait / 3;
         let small_wait = self.next_wait();
         // Keys that seldom change are polled seldom: three polls of a third of a second
@@ -263,7 +263,7 @@
         let is_repeated = is_servers || key == self.sources.keys.evacuation_prefix;
         let is_large = key == self.sources.keys.config_key;
         round.is_large_done |= is_large;
-        let gather_pause = self.sources.timing.gather_pause;
+        let gather_pause = self.timing().gather_pause;
         let batch = match batch {
             // The poll of the large value ended before this one was sent.
             None => return Ok(None),
@@ -331,7 +331,7 @@
             until,
         })
         .await?;
-        store::pause_after_poll(&self.sources.timing, sent_at, wait, has_changes).await;
+        store::pause_after_poll(&self.timing(), sent_at, wait, has_changes).await;
         Ok(())
     }
 
@@ -343,7 +343,7 @@
     /// as long. It also applies without subscribers: an instance that subscribed in the
     /// middle of a longer poll would find the copy too old and leave again.
     fn next_wait(&self) -> Duration {
-        let timing = self.sources.timing;
+        let timing = self.timing();
         match self.is_store_silent {
             true => Duration::ZERO,
             false if self.had_changes => timing.subscribed_wait / 3,
--- a/src/replica/follow/start.rs
+++ b/src/replica/follow/start.rs
@@ -103,7 +103,7 @@
         CopySearch {
             me: self.sources.me.clone(),
             seeds: self.sources.seeds.clone(),
-            fresh: self.sources.timing.fresh_age,
+            fresh: self.timing().fresh_age,
             started_at: self.started_at,
             copy_holders: self.shared.copy_holders(),
             copy_log: Arc::clone(&self.shared.log),
@@ -117,7 +117,7 @@
             "revision" => %Revision(update.revision),
             "age_ms" => update.age.map(|age| age.as_millis() as u64));
         // Until the store responds, an upstream with an old copy is as good as any other.
-        self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause);
+        self.store_state = StoreState::Unreachable(Instant::now() + self.probe_pause());
         self.apply_update(update).await
     }
 
@@ -184,7 +184,7 @@
     fn early_entries(&self) -> EarlyEntries {
         EarlyEntries {
             sender: self.sender.clone(),
-            fresh: self.sources.timing.fresh_age,
+            fresh: self.timing().fresh_age,
         }
     }
 
@@ -200,7 +200,7 @@
             Some(roster) => roster,
             None => self.list_members().await?,
         };
-        let first_wait = self.sources.timing.copy_wait;
+        let first_wait = self.timing().copy_wait;
         let me = &self.sources.me;
         let plan = FirstCopyPlan::with_call_time(me, &roster, first_wait, call_time);
         info!(self.sources.log, "first copy"; "sources" => plan.sources.len(),
@@ -241,7 +241,7 @@
             retry: RETRY_PAUSES,
             copy_log: &self.shared.log,
             early: Some(&early),
-            max_age: Some(self.sources.timing.fresh_age),
+            max_age: Some(self.timing().fresh_age),
             answering,
             log: &self.sources.log,
         };
--- a/src/replica/follow/upstream.rs
+++ b/src/replica/follow/upstream.rs
@@ -266,7 +266,7 @@
     }
 
     fn set_on_fallback(&mut self, is_on_fallback: bool) {
-        self.next_fallback_probe = is_on_fallback.then(|| Instant::now() + self.probe_pause);
+        self.next_fallback_probe = is_on_fallback.then(|| Instant::now() + self.probe_pause());
         self.shared.set_on_fallback(is_on_fallback);
     }
 
@@ -297,7 +297,7 @@
         } else {
             1.0
         };
-        let probe_age = self.sources.timing.max_age.mul_f64(share);
+        let probe_age = self.timing().max_age.mul_f64(share);
         let age = self.shared.age(Instant::now());
         age.is_none_or(|age| age > probe_age)
     }
@@ -321,7 +321,7 @@
                 self.record_failure(&error, probed_at).await?;
                 self.next_fallback_probe = self
                     .next_fallback_probe
-                    .map(|_| probed_at + self.probe_pause);
+                    .map(|_| probed_at + self.probe_pause());
                 if !store::needs_listing(&error) {
                     return Ok(false);
                 }
@@ -354,7 +354,7 @@
             .listing_due
             .unwrap_or_else(|| now + self.listing_wait());
         self.listing_due = Some(due);
-        self.store_state = StoreState::Unreachable(due.min(now + self.probe_pause));
+        self.store_state = StoreState::Unreachable(due.min(now + self.probe_pause()));
     }
 
     /// How long the heads have to list the store before this instance does.
@@ -365,7 +365,7 @@
         let rank = ranked.iter().position(|m| m.instance == me.instance);
         let keys = self.shared.with_copy(|copy| copy.key_count());
         let turn = first_copy::turn(rank.unwrap_or(ranked.len()), keys);
-        let max_age = self.sources.timing.max_age;
+        let max_age = self.timing().max_age;
         let for_heads = (self.contact_interval * 2).clamp(max_age / 2, max_age * 4);
         for_heads + turn
     }
@@ -452,9 +452,7 @@
     }
 
     pub(super) fn is_fresh(&self, update: &UpstreamUpdate) -> bool {
-        update
-            .age
-            .is_some_and(|age| age < self.sources.timing.fresh_age)
+        update.age.is_some_and(|age| age < self.timing().fresh_age)
     }
 
     /// Whether an upstream that sends this update is worth a subscription. An upstream
--- a/src/replica/pacer.rs
+++ b/src/replica/pacer.rs
@@ -32,12 +32,15 @@
 
 impl Pacer {
     pub(crate) fn new(link: Bandwidth, now: Instant) -> Self {
-        let rate = (link.bytes_per_second() * SUBSCRIBER_SHARE) as u32;
         Self {
-            bucket: Mutex::new(TokenBucket::new(Rate(rate.max(1)), now)),
+            bucket: Mutex::new(full_bucket(link, now)),
         }
     }
 
+    pub(crate) fn set_link(&self, link: Bandwidth, now: Instant) {
+        *self.lock() = full_bucket(link, now);
+    }
+
     fn lock(&self) -> MutexGuard<'_, TokenBucket> {
         self.bucket.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -58,3 +61,8 @@
         time::sleep(RETRY_INTERVAL).await;
     }
 }
+
+fn full_bucket(link: Bandwidth, now: Instant) -> TokenBucket {
+    let rate = (link.bytes_per_second() * SUBSCRIBER_SHARE) as u32;
+    TokenBucket::new(Rate(rate.max(1)), now)
+}
--- a/tests/flow/egress.rs
+++ b/tests/flow/egress.rs
@@ -289,3 +289,17 @@
         egress.queued_bytes()
     );
 }
+
+// Guards against a queue that keeps the former rate of its link.
+#[test]
+fn a_changed_rate_applies_to_queued_packets() {
+    let now = Instant::now();
+    let mut egress = Egress::new(SLOW_LINK, now);
+    for number in 0..16 {
+        enqueue(&mut egress, &data(1, number), 1, FULL_PACKET as usize);
+    }
+    let sent = marks(&mut egress, now, 20).len();
+    assert!((3..16).contains(&sent), "{sent}");
+    egress.set_rate(SLOW_LINK * 100.0);
+    assert_eq!(marks(&mut egress, now + ms(21), 10).len(), 16 - sent);
+}
--- a/tests/flow/forget.rs
+++ b/tests/flow/forget.rs
@@ -69,3 +69,21 @@
     assert_eq!(forwarded(verdict), other);
     assert_eq!(plane.flows(), 2);
 }
+
+// Guards against flows that are forgotten before a longer lifetime that the settings now
+// allow.
+#[test]
+fn a_changed_lifetime_applies_to_open_flows() {
+    let now = Instant::now();
+    let mut plane = plane(now, vec![server(1, "dispatch", LOCAL)]);
+    let caller = Caller::new(1, BOOKINGS);
+    let target = open(&mut plane, now, &caller);
+    plane.set_flow_ttl(Duration::from_secs(90));
+    for second in 1..=90 {
+        assert_eq!(plane.flows(), 1, "after {second} s");
+        let at = now + Duration::from_secs(second);
+        plane.receive(at, &caller.data(second as u32 * 100, target.tag), b"");
+        plane.expire(at);
+    }
+    assert_eq!(plane.flows(), 0, "after its lifetime");
+}
