Test: entries of another writer end no instance

Other operators reported that one odd entry among those of the servers (very deeply nested, a number too large, a port out of range) ended the machines that read the list, or kept them from following it.

--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -119,7 +119,11 @@
 
     /// Writes a key, as an operator or a backend server does.
     pub fn put(&self, key: &str, value: &Value) {
-        let bytes = value.to_string().into_bytes();
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    /// Writes any bytes to a key.
+    pub fn put_bytes(&self, key: &str, bytes: Vec<u8>) {
         let mut data = self.lock();
         data.written.insert(key.to_owned(), Some(bytes.clone()));
         let rev = data.content.put(key, bytes, 0);
