Flow: a copy of an opening goes where its route leads by then

Cause: receive_retransmission sent a copy to the server of the first SYN, or reopen to another one of that server's service, and did not look at the configuration. Servers that are full do not answer, so that many callers send copies. Own retries took the service from the silent server as well, and openings that leave a full queue the one they had when they came.

Change: while the route allows the service of the first server, nothing changes. If it has moved, the copy goes to a server of the new service (decision `rerouted`); if it is gone, the caller is reset at once. While nobody serves the new route the copy is dropped: a reset could break a flow that the first server has opened meanwhile, which a moved route leaves where it is. A copy that comes after its flow has opened is dropped once the route has moved or is gone. Own retries and the overflow of the queue take the service from the configuration in force.

Why it works: a process has applied a version before it sends the packet that shows the effect. A copy that a caller sends after the effect arrives later still, and is decided by that version or a newer one. So nothing of rollbackSlackMs is used, and no constant changes. Own retries repeat a packet that the caller sent before.

Tests: tests/flow/reroute.rs, all of which failed before, with a property test over any order of changes, copies and timers. All earlier tests of tests/flow pass unchanged.

--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -95,6 +95,7 @@
         FlowEvent::Reopened { server: None, .. } => "reopen_failed",
         FlowEvent::Reopened { .. } => "reopened",
         FlowEvent::Evacuated { .. } => "left_evacuated",
+        FlowEvent::Rerouted { .. } => "rerouted",
         FlowEvent::Refused { reason, .. } => reason.code(),
         FlowEvent::Waited { is_placed, .. } => match is_placed {
             true => "waited",
@@ -134,6 +135,12 @@
             info!(log, "server's zone evacuated in handshake";
                 "outcome" => kind, "flow" => %flow_key, "left" => %left)
         }
+        FlowEvent::Rerouted {
+            flow_key,
+            left,
+            version,
+        } => info!(log, "route changed in handshake"; "outcome" => kind, "flow" => %flow_key,
+            "left" => %left, "version" => version),
         FlowEvent::Refused {
             flow_key, version, ..
         } => info!(log, "new flow refused";
--- a/src/flow/event.rs
+++ b/src/flow/event.rs
@@ -27,11 +27,14 @@
     Cold,
     /// A queued opening that became too old while this process did not run.
     Overdue,
+    /// A retransmitted SYN whose route leads to another service meanwhile, while no server
+    /// there accepts new flows or the flow is already open.
+    Rerouted,
 }
 
 impl DropReason {
     /// All reasons, in order of declaration.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::NoView,
         Self::UnknownTag,
         Self::ServerSide,
@@ -40,6 +43,7 @@
         Self::Evacuated,
         Self::Cold,
         Self::Overdue,
+        Self::Rerouted,
     ];
 
     /// Name of the reason in logs and metrics.
@@ -53,6 +57,7 @@
             Self::Evacuated => "evacuated",
             Self::Cold => "cold",
             Self::Overdue => "overdue",
+            Self::Rerouted => "rerouted",
         }
     }
 }
@@ -134,6 +139,16 @@
         /// The server that got the SYN first.
         left: id::Server,
     },
+    /// The SYN was sent to a server of another service because its route leads there
+    /// meanwhile.
+    Rerouted {
+        /// The flow.
+        flow_key: FlowKey,
+        /// The server that got the SYN first.
+        left: id::Server,
+        /// Version of the configuration.
+        version: u64,
+    },
     /// A new flow was refused with a reset.
     Refused {
         /// The flow.
--- a/src/flow/plane/handshake.rs
+++ b/src/flow/plane/handshake.rs
@@ -10,6 +10,7 @@
 use crate::flow::Expired;
 use crate::flow::FlowEvent;
 use crate::flow::FlowKey;
+use crate::flow::Refusal;
 use crate::flow::Resend;
 use crate::flow::Segment;
 use crate::flow::Target;
@@ -20,6 +21,7 @@
 use crate::flow::table::FlowHandle;
 use crate::flow::table::Opening;
 use crate::flow::table::Phase;
+use crate::id;
 
 /// Maximum number of servers that get one SYN, including the first.
 ///
@@ -55,6 +57,14 @@
     age >= RETRANSMISSION_INTERVALS[copy]
 }
 
+/// Change of a route that keeps its new flows from the service they had.
+enum RouteChange {
+    /// New flows go to this service.
+    Moved(id::Service),
+    /// New flows go nowhere.
+    Withdrawn,
+}
+
 /// What a missed handshake deadline shows about the server.
 enum Judgement {
     Unresponsive,
@@ -76,7 +86,7 @@
             return Verdict::Drop(DropReason::UnknownTag);
         };
         flow.last_seen = now;
-        let server = flow.server;
+        let (server, flow_key) = (flow.server, flow.flow_key);
         let (is_opening, is_unanswered) = match &flow.phase {
             Phase::Opening(opening) => {
                 let sent = opening.last_attempt().sent;
@@ -84,6 +94,20 @@
             }
             Phase::Open | Phase::Closing => (false, false),
         };
+        match self.route_change(&flow_key, server) {
+            None => {}
+            Some(RouteChange::Withdrawn) if is_opening => {
+                self.close(flow_handle);
+                return self.refuse(flow_key, Refusal::NoRoute, self.version());
+            }
+            Some(RouteChange::Moved(service)) if is_opening => {
+                let target = self.follow_route(now, flow_handle, &service);
+                self.note_copy(flow_handle);
+                return target.map_or(Verdict::Drop(DropReason::Rerouted), Verdict::Forward);
+            }
+            // The caller has sent the copy before it got the answer to another one.
+            Some(_) => return Verdict::Drop(DropReason::Rerouted),
+        }
         let record = self.directory.get(server);
         if is_opening && record.is_some_and(|record| record.is_evacuated) {
             let target = self.leave_evacuated(now, flow_handle);
@@ -109,6 +133,21 @@
         }
     }
 
+    /// What has become of the route of a flow since its first SYN was forwarded to this
+    /// server; `None` if new flows may still go to the server's service.
+    fn route_change(&self, flow_key: &FlowKey, server: ServerHandle) -> Option<RouteChange> {
+        let service = &self.directory.get(server)?.server.service;
+        let routes = self.routes.as_ref()?;
+        let Some(route) = routes.by_address.get(&flow_key.service) else {
+            return Some(RouteChange::Withdrawn);
+        };
+        if route.allows(service) {
+            return None;
+        }
+        let moved = route.service(flow_key).cloned().map(RouteChange::Moved);
+        Some(moved.unwrap_or(RouteChange::Withdrawn))
+    }
+
     fn note_copy(&mut self, flow_handle: FlowHandle) {
         let flow = self.table.get_mut(flow_handle);
         if let Some(Phase::Opening(opening)) = flow.map(|flow| &mut flow.phase) {
@@ -284,11 +323,13 @@
         let packet = opening.packet.clone();
         let silent = flow.server;
         self.record_miss(silent, sent, now);
-        let service = self.directory.get(silent)?.server.service.clone();
-        let choice = match tried.len() < MAX_ATTEMPTS {
-            true => self.choose(now, &service, &tried),
-            false => None,
+        let service = match self.route_change(&flow_key, silent) {
+            None => Some(self.directory.get(silent)?.server.service.clone()),
+            Some(RouteChange::Moved(service)) => Some(service),
+            Some(RouteChange::Withdrawn) => None,
         };
+        let service = service.filter(|_| tried.len() < MAX_ATTEMPTS);
+        let choice = service.and_then(|service| self.choose(now, &service, &tried));
         let chosen = choice.and_then(|choice| self.directory.get(choice.handle));
         let event = FlowEvent::Reopened {
             flow_key,
@@ -321,6 +362,25 @@
         self.move_to(now, flow_handle, choice.handle)
     }
 
+    /// Selects a server of the service to which the route of an opening flow leads since the
+    /// first SYN.
+    fn follow_route(
+        &mut self,
+        now: Instant,
+        flow_handle: FlowHandle,
+        service: &id::Service,
+    ) -> Option<Target> {
+        let flow = self.table.get(flow_handle)?;
+        let event = FlowEvent::Rerouted {
+            flow_key: flow.flow_key,
+            left: self.directory.get(flow.server)?.server.id.clone(),
+            version: self.version(),
+        };
+        let choice = self.choose(now, service, &[])?;
+        self.record_event(event);
+        self.move_to(now, flow_handle, choice.handle)
+    }
+
     /// Moves an opening flow to a further server and starts a new handshake deadline.
     fn move_to(
         &mut self,
--- a/src/flow/plane/queueing.rs
+++ b/src/flow/plane/queueing.rs
@@ -491,9 +491,11 @@
         }
         let is_refused = entry.is_first_copy();
         self.record_wait(now, ticket, entry, !is_refused);
-        let verdict = match is_refused {
-            true => self.refuse(entry.segment.flow_key, Refusal::Short, self.version()),
-            false => self.place(now, &entry.segment, &entry.packet, &entry.service),
+        let flow_key = entry.segment.flow_key;
+        let verdict = match self.service_in_force(&flow_key) {
+            _ if is_refused => self.refuse(flow_key, Refusal::Short, self.version()),
+            Some(service) => self.place(now, &entry.segment, &entry.packet, &service),
+            None => self.drop_packet(flow_key, DropReason::Rerouted),
         };
         let priority = ticket.priority;
         self.count_placed(&entry.service, priority, verdict);
@@ -503,6 +505,13 @@
         verdict
     }
 
+    /// The service of a new flow by the configuration in force.
+    fn service_in_force(&self, flow_key: &FlowKey) -> Option<id::Service> {
+        let routes = self.routes.as_ref()?;
+        let route = routes.by_address.get(&flow_key.service)?;
+        route.service(flow_key).cloned()
+    }
+
     /// Ends the wait of an opening that is too old for a reset: this process did not run for
     /// a while, and the caller has sent its SYN again or is gone.
     fn give_up(&mut self, now: Instant, ticket: Ticket, entry: &Entry) -> Verdict {
--- a/src/flow/route.rs
+++ b/src/flow/route.rs
@@ -37,6 +37,12 @@
 }
 
 impl Route {
+    /// Whether new flows may go to this service.
+    pub(crate) fn allows(&self, service: &id::Service) -> bool {
+        let mut backends = self.backends.iter();
+        backends.any(|backend| backend.weight > 0 && backend.service == *service)
+    }
+
     /// The service of a new flow; `None` if all services have weight 0.
     ///
     /// The result depends on the flow alone, so that every instance selects the same service
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -16,6 +16,7 @@
 mod overload;
 mod owner;
 mod queueing;
+mod reroute;
 mod scale;
 mod sequence;
 mod speed;
