--- a/src/flow/directory.rs
+++ b/src/flow/directory.rs
@@ -210,6 +210,12 @@
         services.is_none_or(|services| services.contains(service))
     }
 
+    /// Whether an entry shows that servers write their incarnation. One of a service that
+    /// the configuration does not name comes from another writer.
+    fn tells_incarnation(&self, server: &Server) -> bool {
+        server.incarnation.is_some() && self.is_service_named(&server.service)
+    }
+
     /// Whether an entry moves a known server to a service that does not exist, which only
     /// another writer does.
     fn is_foreign(&self, known: ServerHandle, entry: &Server) -> bool {
@@ -219,7 +225,7 @@
     }
 
     fn apply(&mut self, now: Instant, server: Server) -> bool {
-        self.entries_have_incarnation |= server.incarnation.is_some();
+        self.entries_have_incarnation |= self.tells_incarnation(&server);
         let Some(handle) = self.by_id.get(&server.id).copied() else {
             self.insert(now, server);
             return true;
@@ -461,6 +467,10 @@
     pub(crate) fn set_services(&mut self, routes: &Routes) {
         self.warmups = routes.warmups.clone();
         self.services = Some(routes.services());
+        let has_incarnation = self
+            .records()
+            .any(|record| self.tells_incarnation(&record.server));
+        self.entries_have_incarnation = has_incarnation;
     }
 
     /// Whether a server is cold and this instance has used up its quota for it.
--- a/tests/flow/incarnation.rs
+++ b/tests/flow/incarnation.rs
@@ -252,3 +252,31 @@
         assert_ne!(target.address.ip().octets()[3], 99);
     }
 }
+
+// An entry of a service that no configuration names comes from another writer. Guards against
+// servers that count as without capacity because it has an incarnation and theirs have none.
+#[test]
+fn an_entry_of_no_service_tells_nothing_of_incarnations() {
+    let now = Instant::now();
+    for is_listed_first in [false, true] {
+        let foreign = Server {
+            incarnation: Some(Incarnation(5)),
+            ..server(9, "nowhere", LOCAL)
+        };
+        let mut options = options();
+        options.balancing.admits_by_priority = true;
+        let mut plane = DataPlane::new(options);
+        plane.apply(now, StateUpdate::StoreContact(StoreContact::at(now)));
+        let mut listed = vec![server(1, "dispatch", LOCAL), server(2, "dispatch", LOCAL)];
+        if is_listed_first {
+            listed.push(foreign.clone());
+        }
+        let unreadable = Vec::new();
+        plane.apply(now, StateUpdate::Servers { listed, unreadable });
+        let classed = crate::traffic::classed(1, [Some(1), Some(2)]);
+        plane.apply(now, StateUpdate::Routes(classed));
+        plane.apply(now, StateUpdate::Server(foreign));
+        opening(&mut plane, now, 1);
+        assert_eq!(plane.service_loads(now)[0].slots, 4);
+    }
+}
