Flow: copies on a route without weights are dropped, not reset

Found by reading the change: a copy on a route whose services all have weight 0 was reset as if the route were gone. The route is still there, so that a flow which the first server opens meanwhile must not be broken. The test a_copy_on_a_route_without_weights_is_dropped fails without this change, by reading; it was not run on the former code.

The pacer of subscribers keeps its budget at SIGHUP unless the rate of the link has changed.

--- a/src/flow/plane/handshake.rs
+++ b/src/flow/plane/handshake.rs
@@ -59,9 +59,9 @@
 
 /// Change of a route that keeps its new flows from the service they had.
 enum RouteChange {
-    /// New flows go to this service.
-    Moved(id::Service),
-    /// New flows go nowhere.
+    /// New flows go to this service; to none while all services have weight 0.
+    Moved(Option<id::Service>),
+    /// The configuration has no such route any more.
     Withdrawn,
 }
 
@@ -101,7 +101,7 @@
                 return self.refuse(flow_key, Refusal::NoRoute, self.version());
             }
             Some(RouteChange::Moved(service)) if is_opening => {
-                let target = self.follow_route(now, flow_handle, &service);
+                let target = service.and_then(|to| self.follow_route(now, flow_handle, &to));
                 self.note_copy(flow_handle);
                 return target.map_or(Verdict::Drop(DropReason::Rerouted), Verdict::Forward);
             }
@@ -141,11 +141,8 @@
         let Some(route) = routes.by_address.get(&flow_key.service) else {
             return Some(RouteChange::Withdrawn);
         };
-        if route.allows(service) {
-            return None;
-        }
-        let moved = route.service(flow_key).cloned().map(RouteChange::Moved);
-        Some(moved.unwrap_or(RouteChange::Withdrawn))
+        let moved = || RouteChange::Moved(route.service(flow_key).cloned());
+        (!route.allows(service)).then(moved)
     }
 
     fn note_copy(&mut self, flow_handle: FlowHandle) {
@@ -325,7 +322,7 @@
         self.record_miss(silent, sent, now);
         let service = match self.route_change(&flow_key, silent) {
             None => Some(self.directory.get(silent)?.server.service.clone()),
-            Some(RouteChange::Moved(service)) => Some(service),
+            Some(RouteChange::Moved(service)) => service,
             Some(RouteChange::Withdrawn) => None,
         };
         let service = service.filter(|_| tried.len() < MAX_ATTEMPTS);
--- a/src/replica/pacer.rs
+++ b/src/replica/pacer.rs
@@ -38,7 +38,11 @@
     }
 
     pub(crate) fn set_link(&self, link: Bandwidth, now: Instant) {
-        *self.lock() = full_bucket(link, now);
+        let bucket = full_bucket(link, now);
+        let mut current = self.lock();
+        if bucket.rate() != current.rate() {
+            *current = bucket;
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, TokenBucket> {
--- a/tests/flow/reroute.rs
+++ b/tests/flow/reroute.rs
@@ -193,6 +193,17 @@
     assert!(forwarded(verdict).serial.0 >= 3);
 }
 
+// Guards against a reset of a flow that the first server may have opened meanwhile: a route
+// without weights is not gone.
+#[test]
+fn a_copy_on_a_route_without_weights_is_dropped() {
+    let now = Instant::now();
+    let (mut plane, caller) = unanswered(now);
+    plane.apply(now, StateUpdate::Routes(shared(2, [0, 0])));
+    let verdict = plane.receive(now + ms(200), &caller.opening(1), b"copy");
+    assert_eq!(verdict, Verdict::Drop(DropReason::Rerouted));
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Route(Option<bool>),
